--- /dev/null
+++ b/Makefile
@@ -0,0 +1,11 @@
+# The two commands of the README are "make test" and "make demo".
+
+.PHONY: build test race model fuzz-corpora demo lint
+
+build:
+	go build -o bin/ ./cmd/...
+
+test: race
+
+race:
+	go test -race -timeout 15m ./...
--- /dev/null
+++ b/internal/http1/client.go
@@ -0,0 +1,339 @@
+// Package http1 speaks HTTP/1.1 on nbhttp: a client with one pool of
+// connections per address, and a server.
+//
+// The client carries one request at a time on a connection. It keeps two
+// failures apart, because refusals depend on it: a NotSentError means that no
+// byte of the request was written, a LostError that the peer may have received
+// it. A connection whose request did not end with a whole answer is closed and
+// never used again. An answer without framing (neither a length nor chunks) is
+// an error, since its end cannot be told from a cut.
+package http1
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+func init() {
+	// nbio logs connection resets, which are routine here, at error level.
+	logging.SetLevel(logging.LevelNone)
+}
+
+// Client owns the event loops shared by its pools.
+type Client struct {
+	engine *nbhttp.Engine
+}
+
+// NewClient starts the event loops.
+func NewClient() (*Client, error) {
+	engine := nbhttp.NewEngine(nbhttp.Config{Name: "http1-client", SupportServerOnly: true})
+	if err := engine.Start(); err != nil {
+		return nil, errors.Wrap(err, "start client engine")
+	}
+	return &Client{engine: engine}, nil
+}
+
+// Close ends the event loops and every connection.
+func (c *Client) Close() {
+	c.engine.Stop()
+}
+
+// Request is an HTTP request with its whole body.
+type Request struct {
+	Method string
+	Target string // path and query as on the request line
+	Host   string // Host header; the address of the pool if empty
+	Header http.Header
+	Body   []byte
+}
+
+// Response is an HTTP answer that has arrived whole.
+type Response struct {
+	Status  int
+	Header  http.Header
+	Trailer http.Header
+	Body    []byte
+}
+
+// NotSentError reports a request of which no byte was written.
+type NotSentError struct {
+	Addr string
+	Err  error
+}
+
+func (e *NotSentError) Error() string { return "request to " + e.Addr + " not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// LostError reports a request that may have been received although no whole
+// answer arrived.
+type LostError struct {
+	Addr string
+	Err  error
+}
+
+func (e *LostError) Error() string { return "request to " + e.Addr + " lost: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
+
+// Causes inside a NotSentError or LostError.
+var (
+	ErrPoolFull   = errors.New("every connection is in use")
+	ErrPoolClosed = errors.New("pool is closed")
+	ErrUnframed   = errors.New("answer has neither a length nor chunks")
+)
+
+// PoolConfig bounds a pool.
+type PoolConfig struct {
+	MaxConns    int           // connections open at once; 0 means 128
+	DialTimeout time.Duration // 0 means 500 ms
+	IdleTimeout time.Duration // an idle connection is closed after this; 0 means 30 s
+}
+
+const (
+	defaultMaxConns    = 128
+	defaultDialTimeout = 500 * time.Millisecond
+	defaultIdleTimeout = 30 * time.Second
+)
+
+// Pool keeps connections to one address.
+type Pool struct {
+	client *Client
+	addr   string
+	cfg    PoolConfig
+
+	mu     sync.Mutex
+	idle   []*conn // most recently used last
+	open   map[*conn]struct{}
+	closed bool
+}
+
+// NewPool returns a pool for addr ("IP:port"). It opens no connection yet.
+func (c *Client) NewPool(addr string, cfg PoolConfig) *Pool {
+	if cfg.MaxConns <= 0 {
+		cfg.MaxConns = defaultMaxConns
+	}
+	if cfg.DialTimeout <= 0 {
+		cfg.DialTimeout = defaultDialTimeout
+	}
+	if cfg.IdleTimeout <= 0 {
+		cfg.IdleTimeout = defaultIdleTimeout
+	}
+	return &Pool{client: c, addr: addr, cfg: cfg, open: make(map[*conn]struct{})}
+}
+
+// Addr returns the address of the pool.
+func (p *Pool) Addr() string { return p.addr }
+
+// Close closes every connection; requests in flight end with a LostError.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	open := make([]*conn, 0, len(p.open))
+	for c := range p.open {
+		open = append(open, c)
+	}
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range open {
+		c.cc.CloseWithError(ErrPoolClosed)
+	}
+}
+
+// CloseIdle closes the idle connections, for use when the peer went silent on
+// one of them.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.cc.CloseWithError(io.EOF)
+	}
+}
+
+// Do sends req and waits for the whole answer or the end of ctx. The error is a
+// *NotSentError or a *LostError.
+func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &NotSentError{Addr: p.addr, Err: err}
+	}
+	httpReq, err := p.newRequest(req)
+	if err != nil {
+		return nil, &NotSentError{Addr: p.addr, Err: err}
+	}
+	c, err := p.get()
+	if err != nil {
+		return nil, &NotSentError{Addr: p.addr, Err: err}
+	}
+	return c.do(ctx, httpReq)
+}
+
+func (p *Pool) newRequest(req *Request) (*http.Request, error) {
+	u, err := url.ParseRequestURI(req.Target)
+	if err != nil {
+		return nil, errors.Wrapf(err, "target %q", req.Target)
+	}
+	u.Scheme, u.Host = "http", p.addr
+	header := req.Header
+	if header == nil {
+		header = http.Header{}
+	}
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // net/http would add its own
+	}
+	r := &http.Request{
+		Method: req.Method, URL: u, Host: req.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		ContentLength: int64(len(req.Body)),
+	}
+	if len(req.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(req.Body))
+	}
+	return r, nil
+}
+
+func (p *Pool) get() (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrPoolClosed
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return c, nil
+	}
+	if len(p.open) >= p.cfg.MaxConns {
+		return nil, ErrPoolFull
+	}
+	c := newConn(p)
+	p.open[c] = struct{}{}
+	return c, nil
+}
+
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	_, open := p.open[c]
+	keep := open && !p.closed
+	if keep {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		c.cc.CloseWithError(io.EOF)
+	}
+}
+
+// drop forgets a closed connection.
+func (p *Pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, c)
+	for i, d := range p.idle {
+		if d == c {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// conn carries one request at a time.
+type conn struct {
+	pool   *Pool
+	cc     *nbhttp.ClientConn
+	dialed bool // written before the request is, read after its end
+}
+
+func newConn(p *Pool) *conn {
+	c := &conn{pool: p}
+	c.cc = &nbhttp.ClientConn{
+		Engine:          p.client.engine,
+		IdleConnTimeout: p.cfg.IdleTimeout,
+		Dial: func(network, addr string) (net.Conn, error) {
+			nc, err := net.DialTimeout(network, addr, p.cfg.DialTimeout)
+			c.dialed = err == nil
+			return nc, err
+		},
+	}
+	c.cc.OnClose(func() { p.drop(c) })
+	return c
+}
+
+type result struct {
+	res *Response
+	err error
+}
+
+func (c *conn) do(ctx context.Context, req *http.Request) (*Response, error) {
+	done := make(chan result, 1)
+	go c.cc.Do(req, func(res *http.Response, _ net.Conn, err error) {
+		if err != nil {
+			done <- result{err: c.classify(err)}
+			return
+		}
+		whole, err := readWhole(req.Method, res)
+		if err != nil {
+			err = &LostError{Addr: c.pool.addr, Err: err}
+		}
+		done <- result{res: whole, err: err}
+	})
+	select {
+	case r := <-done:
+		if r.err != nil || r.res.Header.Get("Connection") == "close" {
+			c.close(io.EOF)
+			return r.res, r.err
+		}
+		c.pool.put(c)
+		return r.res, nil
+	case <-ctx.Done():
+		c.close(ctx.Err())
+		return nil, &LostError{Addr: c.pool.addr, Err: ctx.Err()}
+	}
+}
+
+// classify runs in the handler, after the dial has ended.
+func (c *conn) classify(err error) error {
+	if !c.dialed {
+		return &NotSentError{Addr: c.pool.addr, Err: err}
+	}
+	return &LostError{Addr: c.pool.addr, Err: err}
+}
+
+// close does not wait: nbhttp holds the connection's lock while it dials or
+// calls a handler.
+func (c *conn) close(err error) {
+	c.pool.drop(c)
+	go c.cc.CloseWithError(err)
+}
+
+// readWhole copies the answer, since nbhttp reuses it after the handler.
+func readWhole(method string, res *http.Response) (*Response, error) {
+	framed := res.ContentLength >= 0 || len(res.Header["Transfer-Encoding"]) > 0
+	bodiless := method == http.MethodHead || res.StatusCode == http.StatusNoContent || res.StatusCode == http.StatusNotModified
+	if !framed && !bodiless {
+		return nil, ErrUnframed
+	}
+	out := &Response{Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer}
+	if res.Body == nil {
+		return out, nil
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	out.Body = body
+	return out, nil
+}
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,163 @@
+package http1
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+)
+
+func newPool(t *testing.T, addr string) *Pool {
+	t.Helper()
+	c, err := NewClient()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c.NewPool(addr, PoolConfig{})
+}
+
+func listen(t *testing.T, h http.HandlerFunc) *Server {
+	t.Helper()
+	s, err := Listen(ServerConfig{Addr: "127.0.0.1:0", Handler: h})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// Guards against answers that lose their body, status or connection reuse.
+func TestRoundTrip(t *testing.T) {
+	remotes := make(map[string]bool)
+	s := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		remotes[r.RemoteAddr] = true
+		w.Header().Set("Target", r.URL.RequestURI())
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = w.Write(append([]byte("got "), body...))
+	})
+	p := newPool(t, s.Addr())
+	for range 3 {
+		res, err := p.Do(t.Context(), &Request{Method: "POST", Target: "/a%2Fb?q=1", Body: []byte("x")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := []any{res.Status, res.Header.Get("Target"), string(res.Body)}
+		if diff := cmp.Diff([]any{202, "/a%2Fb?q=1", "got x"}, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+	if len(remotes) != 1 {
+		t.Errorf("connections = %d, want 1", len(remotes))
+	}
+}
+
+// Guards against a cut or unframed answer that is passed on as a success, and
+// against a sent request that is reported as not sent.
+func TestBrokenAnswers(t *testing.T) {
+	tests := map[string]string{
+		"cut in the body":   "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"cut in a chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nA\r\nhalf",
+		"unframed":          "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody",
+		"no answer":         "",
+		"cut in the header": "HTTP/1.1 200 OK\r\nContent-",
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			addr := rawServer(t, answer)
+			res, err := newPool(t, addr).Do(t.Context(), &Request{Method: "GET", Target: "/"})
+			var lost *LostError
+			if !errors.As(err, &lost) {
+				t.Errorf("Do = %v, %v, want a LostError", res, err)
+			}
+		})
+	}
+}
+
+// rawServer answers every request with the given bytes and closes.
+func rawServer(t *testing.T, answer string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, answer)
+			_ = c.Close()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a refused connection that is reported as perhaps received.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	s := listen(t, func(http.ResponseWriter, *http.Request) {})
+	addr := s.Addr()
+	_ = s.listener.Close()
+	_, err := newPool(t, addr).Do(t.Context(), &Request{Method: "GET", Target: "/"})
+	var notSent *NotSentError
+	if !errors.As(err, &notSent) {
+		t.Errorf("Do = %v, want a NotSentError", err)
+	}
+}
+
+// Guards against a caller's disconnect that does not reach the handler, and
+// against a shutdown that cuts a request in flight.
+func TestCancelAndShutdown(t *testing.T) {
+	started, cancelled := make(chan bool, 2), make(chan bool, 1)
+	release := make(chan bool)
+	s := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		started <- true
+		if r.URL.Path == "/cancel" {
+			<-r.Context().Done()
+			cancelled <- true
+			return
+		}
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})
+	p := newPool(t, s.Addr())
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-started; cancel() }()
+	if _, err := p.Do(ctx, &Request{Method: "GET", Target: "/cancel"}); err == nil {
+		t.Fatal("cancelled request succeeded")
+	}
+	<-cancelled
+
+	answer := make(chan string, 1)
+	go func() {
+		res, err := p.Do(t.Context(), &Request{Method: "GET", Target: "/slow"})
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		answer <- string(res.Body)
+	}()
+	<-started
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		stopped <- s.Shutdown(ctx)
+	}()
+	release <- true
+	if diff := cmp.Diff("whole", <-answer); diff != "" {
+		t.Error(diff)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
