Read a lost answer back at once

Cause: the first read-back waited 20 ms, time in which other writers can replace the record more often than its history remembers. Change: only the second and later read-backs are preceded by a pause.

--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -46,7 +46,7 @@
 	dialTimeout = 300 * time.Millisecond // below minTimeout, so that a failed dial is known as not sent
 	maxConns    = 64
 
-	minPause = 20 * time.Millisecond  // before the second attempt of Swap; doubles
+	minPause = 20 * time.Millisecond  // before the second read-back of Swap; doubles
 	maxPause = 500 * time.Millisecond // bounds the calls of a waiting Swap during an outage
 )
 
--- a/internal/platform/swap.go
+++ b/internal/platform/swap.go
@@ -27,7 +27,7 @@
 // after an attempt in doubt only if the key is still at the expected revision:
 // the attempt may be on its way, and whichever arrives first wins.
 func (w *swap) run(ctx context.Context) (fleet.Revision, error) {
-	pause := minPause
+	pause := time.Duration(0) // a lost answer is read back at once
 	for {
 		rev, sendErr := w.send(ctx)
 		if done, err := w.conclude(ctx, sendErr); done {
@@ -37,7 +37,7 @@
 			if waitErr := sleep(ctx, retryPause(err, pause)); waitErr != nil {
 				return 0, w.unknown(errors.Wrapf(waitErr, "last attempt: %v", err))
 			}
-			pause = min(2*pause, maxPause)
+			pause = min(max(2*pause, minPause), maxPause)
 			var v verdict
 			if v, err = w.readBack(ctx); err != nil {
 				continue
