Test the failures of the store and its client

Cause: lost answers, outages, metering, leases and silent connections must not break the router's state.

--- a/internal/platform/store_test.go
+++ b/internal/platform/store_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/platform"
+	"github.com/parsleyproxy/parsleyproxy/internal/standin/relay"
 	"github.com/parsleyproxy/parsleyproxy/internal/standin/store"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -125,3 +129,243 @@
 		t.Errorf("Changes = %+v, %v", got, err)
 	}
 }
+
+// Guards against a write that is reported as lost, or repeated, because another
+// writer built on it before the read-back.
+func TestLostAnswerFoundInHistory(t *testing.T) {
+	server := startStore(t, store.Config{})
+	net, addr := startRelay(t, server.Addr())
+	s, other := newStore(t, addr), newStore(t, server.Addr())
+	base := swap(t, s, 0, "{}", "alice")
+	applyFault(t, net, relay.Fault{Mode: relay.ModeCut, Direction: relay.ToClient})
+	type outcome struct {
+		rev fleet.Revision
+		err error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		rev, err := s.Swap(bounded(t), key, base, []byte("{}"), "alice", time.Now())
+		done <- outcome{rev, err}
+	}()
+	c, err := other.Changes(bounded(t), key, base, 5*time.Second)
+	if err != nil || len(c.Records) != 1 {
+		t.Fatalf("Changes = %+v, %v", c, err)
+	}
+	swap(t, other, c.Records[0].Revision, "{}", "bob")
+	applyFault(t, net, relay.Fault{Mode: relay.ModeOK})
+	if got := <-done; got.err != nil || got.rev != base+1 {
+		t.Errorf("Swap = %d, %v, want %d", got.rev, got.err, base+1)
+	}
+}
+
+// Guards against a delayed write that takes effect a second time, or after
+// another outcome was reported.
+func TestDelayedWriteTakesEffectOnce(t *testing.T) {
+	server := startStore(t, store.Config{})
+	net, addr := startRelay(t, server.Addr())
+	s := newStore(t, addr)
+	base := swap(t, s, 0, "{}", "alice")
+	applyFault(t, net, relay.Fault{Mode: relay.ModeHold, Direction: relay.ToTarget})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second) // longer than the first attempt
+	defer cancel()
+	_, err := s.Swap(ctx, key, base, []byte("{}"), "alice", time.Now())
+	var unknown *platform.UnknownError
+	if !errors.As(err, &unknown) {
+		t.Fatalf("Swap while held = %v, want an UnknownError", err)
+	}
+	applyFault(t, net, relay.Fault{Mode: relay.ModeOK})
+	c, err := newStore(t, server.Addr()).Changes(bounded(t), key, base, 5*time.Second)
+	if err != nil || len(c.Records) != 1 || c.Records[0].WriteID != unknown.WriteID || c.Revision != base+1 {
+		t.Errorf("Changes = %+v, %v, want write %s at %d", c, err, unknown.WriteID, base+1)
+	}
+}
+
+// Guards against a silent connection that is used again.
+func TestSilentConnection(t *testing.T) {
+	server := startStore(t, store.Config{})
+	net, addr := startRelay(t, server.Addr())
+	s := newStore(t, addr)
+	base := swap(t, s, 0, "{}", "alice")
+	applyFault(t, net, relay.Fault{Mode: relay.ModeSilent})
+	start := time.Now()
+	_, err := s.Changes(bounded(t), key, 0, 0)
+	var unavailable *platform.UnavailableError
+	if !errors.As(err, &unavailable) || time.Since(start) > time.Second {
+		t.Errorf("Changes on the silent connection = %v after %v", err, time.Since(start))
+	}
+	if _, err := s.Changes(bounded(t), key, 0, 0); err != nil {
+		t.Errorf("Changes on a new connection: %v", err)
+	}
+	applyFault(t, net, relay.Fault{Mode: relay.ModeSilent})
+	if rev := swap(t, s, base, "{}", "alice"); rev != base+1 {
+		t.Errorf("revision = %d, want %d", rev, base+1)
+	}
+}
+
+// Guards against an outage that hangs a read, is taken for a failed write, or
+// outlasts the store's return.
+func TestOutage(t *testing.T) {
+	server := startStore(t, store.Config{})
+	s := newStore(t, server.Addr())
+	base := swap(t, s, 0, "{}", "alice")
+	setFault(t, server, store.Fault{Mode: store.ModeDown})
+	var unavailable *platform.UnavailableError
+	if _, err := s.Changes(bounded(t), key, 0, 0); !errors.As(err, &unavailable) {
+		t.Errorf("Changes = %v, want an UnavailableError", err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	var unknown *platform.UnknownError
+	if _, err := s.Swap(ctx, key, base, []byte("{}"), "alice", time.Now()); !errors.As(err, &unknown) {
+		t.Errorf("Swap = %v, want an UnknownError", err)
+	}
+	setFault(t, server, store.Fault{Mode: store.ModeDown, For: 300 * time.Millisecond})
+	if rev := swap(t, s, base, "{}", "alice"); rev != base+1 {
+		t.Errorf("revision = %d, want %d", rev, base+1)
+	}
+	server.Close()
+	until(t, func() bool { // connections are refused, so nothing is sent
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := newStore(t, server.Addr()).Swap(ctx, key, base+1, []byte("{}"), "alice", time.Now())
+		return errors.As(err, &unavailable)
+	})
+}
+
+// Guards against a slow store that never answers in time.
+func TestSlowStore(t *testing.T) {
+	server := startStore(t, store.Config{})
+	s := newStore(t, server.Addr())
+	setFault(t, server, store.Fault{Mode: store.ModeSlow, Delay: 700 * time.Millisecond})
+	rev := swap(t, s, 0, "{}", "alice")
+	if c, err := s.Changes(bounded(t), key, 0, 0); err != nil || c.Revision != rev {
+		t.Errorf("Changes = %+v, %v, want revision %d", c, err, rev)
+	}
+}
+
+// Guards against throttling that is taken for an outage, and against an oversized
+// value that is sent again and again.
+func TestThrottledAndRejected(t *testing.T) {
+	s := newStore(t, startStore(t, store.Config{WritesPerSecond: 1, ReadsPerSecond: 1}).Addr())
+	rev := swap(t, s, 0, "{}", "alice")
+	_, err := s.Swap(bounded(t), key, rev, nil, "alice", time.Now())
+	var throttled *platform.ThrottledError
+	if !errors.As(err, &throttled) {
+		t.Errorf("Swap = %v, want a ThrottledError", err)
+	}
+	s = newStore(t, startStore(t, store.Config{}).Addr())
+	_, err = s.Swap(bounded(t), key, 0, make([]byte, 1<<20), "alice", time.Now())
+	var rejected *platform.RejectedError
+	if !errors.As(err, &rejected) || rejected.Status != 413 {
+		t.Errorf("Swap = %v, want a RejectedError with 413", err)
+	}
+}
+
+// Guards against updates that are lost or doubled when writers compete while
+// answers are lost.
+func TestCompetingWriters(t *testing.T) {
+	server := startStore(t, store.Config{WritesPerSecond: 1 << 20, ReadsPerSecond: 1 << 20})
+	const writers, each = 4, 30
+	var wg sync.WaitGroup
+	var unknown atomic.Int64
+	for range writers {
+		s := newStore(t, server.Addr())
+		wg.Go(func() {
+			for range each {
+				if !increment(t, s) {
+					unknown.Add(1)
+				}
+			}
+		})
+	}
+	for range 20 {
+		setFault(t, server, store.Fault{Mode: store.ModeLoseAnswers})
+		time.Sleep(2 * time.Millisecond) // paces the faults; no check depends on it
+		setFault(t, server, store.Fault{Mode: store.ModeOK})
+		time.Sleep(2 * time.Millisecond)
+	}
+	wg.Wait()
+	c, err := newStore(t, server.Addr()).Changes(bounded(t), key, 0, 0)
+	if err != nil || len(c.Records) != 1 {
+		t.Fatalf("Changes = %+v, %v", c, err)
+	}
+	n, err := strconv.ParseInt(string(c.Records[0].Value), 10, 64)
+	if err != nil || n < writers*each-unknown.Load() || n > writers*each || n != int64(c.Revision) {
+		t.Errorf("count = %d, %v at revision %d, want %d, of which %d are unknown", n, err, c.Revision, writers*each, unknown.Load())
+	}
+}
+
+// increment adds 1 to the number under key and reports whether that is certain.
+func increment(t *testing.T, s *platform.Store) bool {
+	for {
+		c, err := s.Changes(bounded(t), key, 0, 0)
+		if err != nil {
+			t.Error(err)
+			return false
+		}
+		var expect fleet.Revision
+		n := 0
+		if len(c.Records) > 0 {
+			expect = c.Records[0].Revision
+			n, _ = strconv.Atoi(string(c.Records[0].Value))
+		}
+		_, err = s.Swap(bounded(t), key, expect, []byte(strconv.Itoa(n+1)), "writer", time.Now())
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			return err == nil
+		}
+	}
+}
+
+// Guards against an instance list that is decoded wrongly or hides its outage.
+func TestList(t *testing.T) {
+	server := startStore(t, store.Config{Lag: -1})
+	l := platform.NewList(newClient(t), server.Addr())
+	want := []platform.Listed{
+		{Name: "i1", Kind: platform.KindInstance, Address: "127.0.0.1:1", Zone: "z1", State: platform.StateLeaving},
+		{Name: "u1", Kind: platform.KindUpstream, Service: "s", Address: "127.0.0.1:2", Zone: "z2", State: platform.StateLive, Boot: "b"},
+	}
+	for _, entry := range want {
+		server.SetInstance(time.Now(), entry)
+	}
+	got, err := l.Fetch(bounded(t))
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Error(err, diff)
+	}
+	server.Close()
+	until(t, func() bool {
+		_, err := l.Fetch(bounded(t))
+		var unavailable *platform.UnavailableError
+		return errors.As(err, &unavailable)
+	})
+}
+
+// until waits for a condition.
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("condition not met in time")
+		}
+	}
+}
+
+func startRelay(t *testing.T, target string) (s *relay.Server, addr string) {
+	t.Helper()
+	s, err := relay.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	if addr, err = s.AddRoute("store", "127.0.0.1:0", target); err != nil {
+		t.Fatal(err)
+	}
+	return s, addr
+}
+
+func applyFault(t *testing.T, s *relay.Server, f relay.Fault) {
+	t.Helper()
+	if err := s.SetFault("store", f); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/platform/swap.go
+++ b/internal/platform/swap.go
@@ -60,6 +60,7 @@
 	query := url.Values{"key": {w.record.Key}, "expect": {formatRevision(w.expect)}}
 	req := &http1.Request{Method: http.MethodPut, Target: "/v1/kv?" + query.Encode(), Body: w.body}
 	// Twice the timeout of a read, since repeating a write costs a read as well.
+	sent := time.Now()
 	res, err := call(ctx, w.store.calls, 2*w.store.timeout.get(), req)
 	if err != nil {
 		if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
@@ -67,6 +68,7 @@
 		}
 		return 0, err
 	}
+	w.store.timeout.answered(time.Since(sent), 0)
 	rev, err := decodeStored(res.Body)
 	if err != nil || rev <= w.expect {
 		return 0, &http1.LostError{Addr: w.store.calls.Addr(), Err: errors.Errorf("bad answer %q to a write", res.Body)}
