--- /dev/null
+++ b/pkg/catalogue/check.go
@@ -0,0 +1,344 @@
+package catalogue
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+// Bounds of fields.
+const (
+	maxID       = 128
+	maxText     = 256
+	maxShards   = 65536
+	maxSlots    = 1_000_000
+	maxTimeout  = 10 * time.Minute
+	maxRate     = 1e9
+	maxSegment  = 64
+	minRate     = 1e-6
+	maxAccounts = 10_000
+
+	// segmentMissing marks a path-segment source without a segment.
+	segmentMissing = -1
+)
+
+// problem is a fault found by check; path locates it as in decoder.at.
+type problem struct {
+	path, item, field, text string
+}
+
+// checker collects problems. Its current item is set by item.
+type checker struct {
+	problems []problem
+	path     string
+	name     string
+}
+
+// Check returns every fault as an Errors, or nil.
+func (c *Catalogue) Check() error {
+	var errs Errors
+	for _, p := range c.check() {
+		errs = append(errs, &FieldError{Item: p.item, Field: p.field, Problem: p.text})
+	}
+	if len(errs) == 0 {
+		if n := len(c.Format()); n > MaxSize {
+			errs = Errors{{Problem: fmt.Sprintf("the catalogue has %d bytes, at most %d are allowed", n, MaxSize)}}
+		}
+	}
+	return errs.orNil()
+}
+
+// CheckEdit returns the faults of an edit from old to c, other than those that
+// Check returns. The shard count of a service must not change: the owner of a
+// routing key follows from it.
+func (c *Catalogue) CheckEdit(old *Catalogue) error {
+	var errs Errors
+	for _, s := range c.Services {
+		i := slices.IndexFunc(old.Services, func(o Service) bool { return o.ID == s.ID })
+		if i >= 0 && old.Services[i].Shards != s.Shards {
+			errs = append(errs, &FieldError{
+				Item: itemName("service", string(s.ID), 0), Field: "shards",
+				Problem: fmt.Sprintf("%d: the shard count of a service is fixed at %d; create another service instead", s.Shards, old.Services[i].Shards),
+			})
+		}
+	}
+	return errs.orNil()
+}
+
+func itemName(kind, name string, index int) string {
+	if name == "" {
+		return fmt.Sprintf("%s number %d", kind, index+1)
+	}
+	if kind == "caller key" {
+		// Long enough to tell hashes apart; a caller key put here by mistake stays hidden.
+		if _, err := fleet.ParseCallerKeyHash(name); err != nil {
+			return fmt.Sprintf("%s number %d", kind, index+1)
+		}
+		name = name[:12]
+	}
+	return fmt.Sprintf("%s %q", kind, name)
+}
+
+func (c *Catalogue) check() []problem {
+	k := &checker{}
+	services := make(map[fleet.ServiceID]bool)
+	accounts := make(map[fleet.AccountID]bool)
+	for _, s := range c.Services {
+		services[s.ID] = true
+	}
+	for _, a := range c.Accounts {
+		accounts[a.ID] = true
+	}
+	k.services(c.Services)
+	k.entries(c.Entries, services, accounts)
+	k.accounts(c.Accounts)
+	k.callerKeys(c.CallerKeys, accounts)
+	k.outages(c.OutOfService)
+	return k.problems
+}
+
+func (k *checker) item(list, kind, name string, i int) {
+	k.path = "/" + list + "/" + strconv.Itoa(i)
+	k.name = itemName(kind, name, i)
+}
+
+func (k *checker) fail(field, format string, args ...any) {
+	k.problems = append(k.problems, problem{
+		k.path + "/" + strings.ReplaceAll(field, ".", "/"), k.name, field, fmt.Sprintf(format, args...),
+	})
+}
+
+func (k *checker) services(in []Service) {
+	seen := make(map[fleet.ServiceID]bool)
+	for i, s := range in {
+		k.item(listServices, "service", string(s.ID), i)
+		k.id("id", string(s.ID), seen[s.ID])
+		seen[s.ID] = true
+		k.between("shards", int64(s.Shards), 1, maxShards)
+		k.between("slots", int64(s.Slots), 1, maxSlots)
+		if s.ColdSlots < 1 || s.ColdSlots > s.Slots {
+			k.fail("cold-slots", "%d: want 1 to the number of slots, %d", s.ColdSlots, s.Slots)
+		}
+		oneOf(k, "fencing", s.Fencing, FencingChecked, FencingNone)
+		if s.Timeout < time.Millisecond || s.Timeout > maxTimeout {
+			k.fail("timeout", "%s: want 1ms to %s", s.Timeout, maxTimeout)
+		}
+	}
+}
+
+func (k *checker) entries(in []Entry, services map[fleet.ServiceID]bool, accounts map[fleet.AccountID]bool) {
+	seen := make(map[fleet.EntryID]bool)
+	prefixes := make(map[string]fleet.EntryID)
+	for i, e := range in {
+		k.item(listEntries, "entry", string(e.ID), i)
+		k.id("id", string(e.ID), seen[e.ID])
+		seen[e.ID] = true
+		k.text("owner", e.Owner, true)
+		if k.required("service", string(e.Service)) && !services[e.Service] {
+			k.fail("service", "%q: there is no such service", e.Service)
+		}
+		k.pathPrefix(e.PathPrefix)
+		if other, dup := prefixes[e.PathPrefix]; dup && e.PathPrefix != "" {
+			k.fail("path-prefix", "%q: entry %q has the same", e.PathPrefix, other)
+		}
+		prefixes[e.PathPrefix] = e.ID
+		oneOf(k, "class", e.Class, Idempotent, NonIdempotent)
+		k.limit(e.Limit)
+		k.keySource(e.RoutingKey)
+		k.entryAccounts(e, accounts)
+	}
+}
+
+func (k *checker) entryAccounts(e Entry, accounts map[fleet.AccountID]bool) {
+	if e.Open && len(e.Accounts) > 0 {
+		k.fail("accounts", "an open route cannot be restricted to client accounts")
+	}
+	if len(e.Accounts) > maxAccounts {
+		k.fail("accounts", "%d accounts: want at most %d", len(e.Accounts), maxAccounts)
+	}
+	seen := make(map[fleet.AccountID]bool)
+	for _, a := range e.Accounts {
+		switch {
+		case !accounts[a]:
+			k.fail("accounts", "%q: there is no such account", a)
+		case seen[a]:
+			k.fail("accounts", "%q: listed twice", a)
+		}
+		seen[a] = true
+	}
+}
+
+func (k *checker) accounts(in []Account) {
+	seen := make(map[fleet.AccountID]bool)
+	for i, a := range in {
+		k.item(listAccounts, "account", string(a.ID), i)
+		k.id("id", string(a.ID), seen[a.ID])
+		seen[a.ID] = true
+		k.limit(a.Limit)
+	}
+}
+
+func (k *checker) callerKeys(in []CallerKey, accounts map[fleet.AccountID]bool) {
+	seen := make(map[fleet.CallerKeyHash]bool)
+	for i, c := range in {
+		k.item(listCallerKeys, "caller key", c.Hash.String(), i)
+		switch {
+		case c.Hash == fleet.CallerKeyHash{}:
+			k.fail("hash", "is required")
+		case seen[c.Hash]:
+			k.fail("hash", "listed twice")
+		}
+		seen[c.Hash] = true
+		if k.required("account", string(c.Account)) && !accounts[c.Account] {
+			k.fail("account", "%q: there is no such account", c.Account)
+		}
+		k.text("note", c.Note, false)
+	}
+}
+
+func (k *checker) outages(in []Outage) {
+	type id struct {
+		kind OutageKind
+		name string
+	}
+	seen := make(map[id]bool)
+	for i, o := range in {
+		k.item(listOutOfService, "outage", o.Name, i)
+		oneOf(k, "kind", o.Kind, OutageUpstream, OutageInstance, OutageZone)
+		k.id("name", o.Name, seen[id{o.Kind, o.Name}])
+		seen[id{o.Kind, o.Name}] = true
+		k.text("by", o.By, true)
+		if o.At.IsZero() {
+			k.fail("at", "is required")
+		} else if y := o.At.UTC().Year(); y < 1970 || y > 9999 {
+			k.fail("at", "year %d: want 1970 to 9999", y)
+		}
+	}
+}
+
+func (k *checker) required(field, v string) bool {
+	if v == "" {
+		k.fail(field, "is required")
+	}
+	return v != ""
+}
+
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:@-]*$`)
+
+func (k *checker) id(field, v string, dup bool) {
+	switch {
+	case !k.required(field, v):
+	case len(v) > maxID || !idPattern.MatchString(v):
+		k.fail(field, "%q: want a letter or digit, then letters, digits or any of . _ : @ -, at most %d bytes", v, maxID)
+	case dup:
+		k.fail(field, "%q: listed twice", v)
+	}
+}
+
+func (k *checker) text(field, v string, required bool) {
+	if required && !k.required(field, v) {
+		return
+	}
+	printable := func(r rune) bool { return unicode.IsPrint(r) && r != utf8.RuneError }
+	if len(v) > maxText || !utf8.ValidString(v) || strings.ContainsFunc(v, func(r rune) bool { return !printable(r) }) {
+		k.fail(field, "%q: want printable characters, at most %d bytes", v, maxText)
+	}
+}
+
+func (k *checker) between(field string, v, lo, hi int64) {
+	if v < lo || v > hi {
+		k.fail(field, "%d: want %d to %d", v, lo, hi)
+	}
+}
+
+func oneOf[T ~string](k *checker, field string, v T, allowed ...T) {
+	if k.required(field, string(v)) && !slices.Contains(allowed, v) {
+		names := make([]string, len(allowed))
+		for i, a := range allowed {
+			names[i] = string(a)
+		}
+		k.fail(field, "%q: want %s", v, strings.Join(names, " or "))
+	}
+}
+
+func (k *checker) limit(l fleet.Limit) {
+	if l.Unlimited() {
+		return
+	}
+	if r := float64(l.Rate); math.IsNaN(r) || r < minRate || r > maxRate {
+		k.fail("rate", "%v: want %v to %v requests per second, or neither rate nor burst for no limit", r, minRate, maxRate)
+	}
+	if l.Burst < 1 || l.Burst > maxRate {
+		k.fail("burst", "%d: want 1 to %d requests, or neither rate nor burst for no limit", l.Burst, int64(maxRate))
+	}
+}
+
+var pathPattern = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()*+,;=:@/-]*$`)
+
+// pathPrefix refuses prefixes that no normalised request path starts with.
+func (k *checker) pathPrefix(v string) {
+	if !k.required("path-prefix", v) {
+		return
+	}
+	bad := len(v) > maxText || !pathPattern.MatchString(v) || strings.Contains(v, "//")
+	for _, s := range strings.Split(v, "/") {
+		bad = bad || s == "." || s == ".."
+	}
+	switch {
+	case bad:
+		k.fail("path-prefix", "%q: want / and path characters without escapes, empty segments or dots, at most %d bytes", v, maxText)
+	case v == "/-" || strings.HasPrefix(v, "/-/"):
+		k.fail("path-prefix", "%q: paths below /-/ belong to the router", v)
+	}
+}
+
+var tokenPattern = regexp.MustCompile("^[A-Za-z0-9!#$%&'*+.^_`|~-]+$")
+
+// keySource refuses sources that hold the caller key: routing keys are sent to
+// upstreams and written to logs.
+func (k *checker) keySource(s KeySource) {
+	const field = "routing-key"
+	switch s.From {
+	case FromPathSegment:
+		if s.Segment == segmentMissing {
+			k.fail(field+".segment", "is required")
+		} else {
+			k.between(field+".segment", int64(s.Segment), 0, maxSegment)
+		}
+		if s.Name != "" {
+			k.fail(field+".name", "%q: not allowed with from: path-segment", s.Name)
+		}
+	case FromHeader, FromQuery:
+		k.keyName(field+".name", s)
+		if s.Segment != 0 {
+			k.fail(field+".segment", "%d: only allowed with from: path-segment", s.Segment)
+		}
+	default:
+		oneOf(k, field+".from", s.From, FromHeader, FromQuery, FromPathSegment)
+	}
+}
+
+func (k *checker) keyName(field string, s KeySource) {
+	if !k.required(field, s.Name) {
+		return
+	}
+	lower := strings.ToLower(s.Name)
+	secret := s.From == FromQuery && lower == "api-key" ||
+		s.From == FromHeader && slices.Contains([]string{"authorization", "proxy-authorization", "x-api-key", "cookie"}, lower)
+	switch {
+	case len(s.Name) > maxID || !tokenPattern.MatchString(s.Name):
+		k.fail(field, "%q: want the characters of a header name, at most %d bytes", s.Name, maxID)
+	case secret:
+		k.fail(field, "%q: holds the caller key, which must not reach upstreams", s.Name)
+	case s.From == FromHeader && strings.HasPrefix(lower, "parsley-"):
+		k.fail(field, "%q: header names with Parsley- belong to the router", s.Name)
+	}
+}
