--- /dev/null
+++ b/internal/operator/explain.go
@@ -0,0 +1,137 @@
+package operator
+
+import (
+	"net/url"
+
+	"github.com/go-faster/errors"
+	"github.com/go-faster/jx"
+
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+// QueryValues returns the parameters that ParseQuery reads.
+func QueryValues(q Query) url.Values {
+	v := url.Values{}
+	switch q := q.(type) {
+	case KeyQuery:
+		v.Set("kind", "key")
+		v.Set("service", string(q.Service))
+		v.Set("key", string(q.Key))
+	case RequestQuery:
+		v.Set("kind", "request")
+		v.Set("id", string(q.ID))
+	case AccountQuery:
+		v.Set("kind", "account")
+		v.Set("id", string(q.ID))
+	}
+	return v
+}
+
+// ParseQuery reads kind=key with service and key, or kind=request or kind=account
+// with id.
+func ParseQuery(v url.Values) (Query, error) {
+	need := func(names ...string) error {
+		for _, n := range names {
+			if v.Get(n) == "" {
+				return errors.Errorf("parameter %s is required for kind %s", n, v.Get("kind"))
+			}
+		}
+		return nil
+	}
+	switch kind := v.Get("kind"); kind {
+	case "key":
+		return KeyQuery{fleet.ServiceID(v.Get("service")), fleet.RoutingKey(v.Get("key"))}, need("service", "key")
+	case "request":
+		return RequestQuery{fleet.RequestID(v.Get("id"))}, need("id")
+	case "account":
+		return AccountQuery{fleet.AccountID(v.Get("id"))}, need("id")
+	default:
+		return nil, errors.Errorf("parameter kind %q: want key, request or account", kind)
+	}
+}
+
+// Encode writes the explanation as JSON.
+func (x Explanation) Encode(e *jx.Encoder) {
+	encoder{e}.object(func(e encoder) {
+		encodeStrings(e, "answered", x.Answered)
+		encodeStrings(e, "missing", x.Missing)
+		if x.Owner != nil {
+			e.FieldStart("owner")
+			encodeOwnership(e, *x.Owner)
+		}
+		encodeList(e, "moves", x.Moves, encodeMove)
+		encodeList(e, "refusals", x.Refusals, encodeRefused)
+	})
+}
+
+// Decode reads what Encode wrote.
+func (x *Explanation) Decode(d *jx.Decoder) error {
+	return decodeObject(d, map[string]func(*jx.Decoder) error{
+		"answered": stringsField(&x.Answered),
+		"missing":  stringsField(&x.Missing),
+		"owner": func(d *jx.Decoder) error {
+			x.Owner = &Ownership{}
+			return decodeOwnership(d, x.Owner)
+		},
+		"moves":    listField(&x.Moves, decodeMove),
+		"refusals": listField(&x.Refusals, decodeRefused),
+	})
+}
+
+func encodeOwnership(e encoder, o Ownership) {
+	e.object(func(e encoder) {
+		encodeUnit(e, o.Unit)
+		e.text("owner", string(o.Owner))
+		e.uint("fence", uint64(o.Fence))
+		e.time("since", o.Since)
+		e.text("dispatcher", string(o.Dispatcher))
+		encodeStrings(e, "previous", o.Previous)
+	})
+}
+
+func decodeOwnership(d *jx.Decoder, o *Ownership) error {
+	return decodeObject(d, unitFields(&o.Unit, map[string]func(*jx.Decoder) error{
+		"owner": text(&o.Owner), "fence": uintField(&o.Fence), "since": timeField(&o.Since),
+		"dispatcher": text(&o.Dispatcher), "previous": stringsField(&o.Previous),
+	}))
+}
+
+func encodeMove(e encoder, m Move) {
+	e.object(func(e encoder) {
+		e.time("at", m.At)
+		encodeUnit(e, m.Unit)
+		e.text("from", string(m.From))
+		e.text("to", string(m.To))
+		e.uint("fence", uint64(m.Fence))
+		e.text("cause", m.Cause)
+		e.text("detail", m.Detail)
+	})
+}
+
+func decodeMove(d *jx.Decoder, m *Move) error {
+	return decodeObject(d, unitFields(&m.Unit, map[string]func(*jx.Decoder) error{
+		"at": timeField(&m.At), "from": text(&m.From), "to": text(&m.To),
+		"fence": uintField(&m.Fence), "cause": text(&m.Cause), "detail": text(&m.Detail),
+	}))
+}
+
+func encodeRefused(e encoder, r Refused) {
+	e.object(func(e encoder) {
+		e.time("at", r.At)
+		e.text("instance", string(r.Instance))
+		e.text("request", string(r.Request))
+		e.text("account", string(r.Account))
+		e.text("entry", string(r.Entry))
+		e.text("key", string(r.Key))
+		e.text("reason", string(r.Reason))
+		e.text("detail", r.Detail)
+	})
+}
+
+func decodeRefused(d *jx.Decoder, r *Refused) error {
+	return decodeObject(d, map[string]func(*jx.Decoder) error{
+		"at": timeField(&r.At), "instance": text(&r.Instance), "request": text(&r.Request),
+		"account": text(&r.Account), "entry": text(&r.Entry), "key": text(&r.Key),
+		"reason": text(&r.Reason), "detail": text(&r.Detail),
+	})
+}
