Refuse caller key hashes that are too long instead of crashing

Cause: fleet.ParseCallerKeyHash panics on more than 64 hexadecimal digits; the fuzz target reached it through Parse.

Result: the input is refused with its position.

--- a/pkg/catalogue/check.go
+++ b/pkg/catalogue/check.go
@@ -1,6 +1,8 @@
 package catalogue
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"math"
 	"regexp"
@@ -79,7 +81,7 @@
 	}
 	if kind == "caller key" {
 		// Long enough to tell hashes apart; a caller key put here by mistake stays hidden.
-		if _, err := fleet.ParseCallerKeyHash(name); err != nil {
+		if _, ok := parseHash(name); !ok {
 			return fmt.Sprintf("%s number %d", kind, index+1)
 		}
 		name = name[:12]
@@ -87,6 +89,16 @@
 	return fmt.Sprintf("%s %q", kind, name)
 }
 
+// parseHash checks the length first, because fleet.ParseCallerKeyHash panics on
+// longer text.
+func parseHash(s string) (fleet.CallerKeyHash, bool) {
+	if len(s) != hex.EncodedLen(sha256.Size) {
+		return fleet.CallerKeyHash{}, false
+	}
+	h, err := fleet.ParseCallerKeyHash(s)
+	return h, err == nil
+}
+
 func (c *Catalogue) check() []problem {
 	k := &checker{}
 	services := make(map[fleet.ServiceID]bool)
--- a/pkg/catalogue/parse.go
+++ b/pkg/catalogue/parse.go
@@ -262,8 +262,8 @@
 				return
 			}
 			// The value is not repeated: a caller key may have been put here by mistake.
-			h, err := fleet.ParseCallerKeyHash(s)
-			if err != nil {
+			h, ok := parseHash(s)
+			if !ok {
 				d.fail(p, n, "want 64 hexadecimal digits (SHA-256 of the caller key)")
 				return
 			}
