--- /dev/null
+++ b/internal/assignment/ownership.go
@@ -0,0 +1,26 @@
+package assignment
+
+import "github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+
+// Ownership says which upstream owns a unit, under which fence.
+type Ownership struct {
+	Unit     fleet.Unit
+	Owner    fleet.UpstreamID // empty: none
+	Fence    fleet.Fence
+	Previous []fleet.UpstreamID // not yet released, oldest first
+}
+
+// Report is what a dispatcher says about an upstream.
+type Report struct {
+	Lost         bool
+	Limit, Slots fleet.Slots   // present and warm concurrency limit
+	Load         float64       // requests per second
+	Granted      []fleet.Grant // handovers complete
+	Hot          []HotKey
+}
+
+// HotKey is a routing key with many requests.
+type HotKey struct {
+	Key  fleet.RoutingKey
+	Rate float64 // requests per second
+}
