--- a/internal/assignment/decode.go
+++ b/internal/assignment/decode.go
@@ -58,7 +58,10 @@
 			return errors.Errorf("field %q repeated", key)
 		}
 		seen[key] = true
-		return errors.Wrap(read(in), key)
+		if err := read(in); err != nil {
+			return errors.Wrap(err, key)
+		}
+		return nil
 	}); err != nil {
 		return err
 	}
--- a/internal/assignment/members.go
+++ b/internal/assignment/members.go
@@ -13,15 +13,19 @@
 
 // changeMembers changes the member list, at most once per learned assignment,
 // and the draining instances. A list change keeps the list before it, and the
-// kept list is dropped once majorities of both have learned the change. An
-// instance that returns under another boot id is removed first and added after
-// that: its answers must not count for what its earlier run had learned.
+// kept list is dropped once majorities of both have learned the change. Without
+// it, an instance that was told only the old list could find a majority there
+// that knows nothing of a change in force.
+//
+// An instance that returns under another boot id is replaced, and its old run is
+// left out of the kept list: what that run learned is forgotten, and a majority
+// of the live members is a majority of the list without it, too.
 func (p *plan) changeMembers() {
 	if p.in.Learned {
-		members := p.memberList()
+		members, previous := p.memberLists()
 		switch {
 		case !slices.Equal(members, p.next.Members):
-			p.next.PreviousMembers, p.next.Members = p.next.Members, members
+			p.next.Members, p.next.PreviousMembers = members, previous
 			p.changed = true
 		case len(p.next.PreviousMembers) > 0:
 			p.next.PreviousMembers = nil
@@ -34,7 +38,7 @@
 	}
 }
 
-func (p *plan) memberList() []Member {
+func (p *plan) memberLists() (members, previous []Member) {
 	var notes []Move
 	note := func(cause Cause, id fleet.InstanceID, detail string) {
 		notes = append(notes, Move{Cause: cause, Detail: "instance " + string(id) + detail})
@@ -47,7 +51,6 @@
 	for _, m := range p.in.Joining {
 		joining[m.ID] = m
 	}
-	var members []Member
 	known := map[fleet.InstanceID]bool{}
 	for _, m := range p.next.PreviousMembers {
 		known[m.ID] = true
@@ -55,8 +58,12 @@
 	for _, m := range p.next.Members {
 		known[m.ID] = true
 		if j, ok := joining[m.ID]; ok && j.Boot != m.Boot {
-			note(CauseMemberLost, m.ID, " restarted")
-		} else if slices.Contains(p.in.Lost, m.ID) {
+			note(CauseMemberJoined, m.ID, " restarted")
+			members = append(members, j)
+			continue
+		}
+		previous = append(previous, m)
+		if slices.Contains(p.in.Lost, m.ID) {
 			note(CauseMemberLost, m.ID, "")
 		} else if slices.Contains(p.in.Leaving, m.ID) && !busy[m.ID] {
 			note(CauseMemberLeft, m.ID, "")
@@ -72,11 +79,11 @@
 		note(CauseMemberJoined, id, "")
 	}
 	if len(members) == 0 {
-		return p.next.Members // an empty list would have no majority
+		return p.next.Members, nil // an empty list would have no majority
 	}
 	p.moves = append(p.moves, notes...)
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return members
+	return members, previous
 }
 
 // draining lists the members that are to give up their roles.
--- a/internal/assignment/units.go
+++ b/internal/assignment/units.go
@@ -80,7 +80,7 @@
 		if r := p.byID[from]; r != nil {
 			cause = r.why
 		}
-		to := neediest(usable, noWarm)
+		to := neediest(usable, noWarm, math.MaxInt)
 		p.take(i, to, cause)
 	}
 	p.balance(s, usable)
@@ -122,12 +122,13 @@
 // open reports whether the upstream may take another shard now.
 func (r *row) open() bool { return r.warmth >= 1 || r.pending < maxWarmingHandovers }
 
-// neediest returns the upstream furthest below its target. Warming upstreams at
-// their bound are passed over unless there is no warm one.
-func neediest(usable []*row, noWarm bool) *row {
+// neediest returns the upstream with fewer than most shards that is furthest
+// below its target. Warming upstreams at their bound are passed over unless there
+// is no warm one.
+func neediest(usable []*row, noWarm bool, most int) *row {
 	var best *row
 	for _, r := range usable {
-		if !noWarm && !r.open() {
+		if r.count >= most || !noWarm && !r.open() {
 			continue
 		}
 		if best == nil || r.count-r.target < best.count-best.target {
@@ -151,9 +152,10 @@
 		if from == nil || !from.usable || from.count <= from.target || len(o.Previous) > 0 || p.retiring[o.Unit] {
 			continue
 		}
-		to := neediest(usable, false)
+		// A cold upstream does not give to one that has as many.
+		to := neediest(usable, false, from.count-1)
 		if to == nil || to.count >= to.target {
-			return
+			continue
 		}
 		cause := CauseBalance
 		if to.warmth < 1 {
--- a/internal/assignment/upstreams.go
+++ b/internal/assignment/upstreams.go
@@ -18,6 +18,7 @@
 			u.State = state
 		}
 	}
+	var added []Upstream
 	for _, id := range sortedKeys(p.listed) {
 		if _, ok := p.next.upstream(id); ok {
 			continue
@@ -27,9 +28,10 @@
 		if l.State == platform.StateLeaving {
 			u.State = Leaving
 		}
-		p.next.Upstreams = append(p.next.Upstreams, u)
+		added = append(added, u)
 		p.note(CauseUpstreamJoined, id, "upstream %s is %s", id, u.State)
 	}
+	p.next.Upstreams = append(p.next.Upstreams, added...)
 	slices.SortFunc(p.next.Upstreams, func(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
 
