--- /dev/null
+++ b/internal/dispatch/release.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+// driftMargin covers the drift between the clocks of dispatcher and upstream
+// over one lease.
+const driftMargin = 10 * time.Millisecond
+
+// ghost is an attempt that ended without a response and may still run.
+type ghost struct {
+	unit      fleet.Unit
+	slotUntil time.Time // the upstream has noticed the closed connection
+	runsUntil time.Time // the deadline has passed on every clock
+}
+
+// sendRevocations revokes units that have no open attempts.
+func (t *Table) sendRevocations(now time.Time, u *upstream) {
+	// A grant on its way could overtake the revocation.
+	if u.session.revoking != nil || u.session.granting != nil {
+		return
+	}
+	var grants []fleet.Grant
+	for _, x := range u.list {
+		if len(grants) < maxGrants && !x.mine && x.state == unitDraining && u.openIn(x) == 0 {
+			grants = append(grants, x.revocation())
+			x.state = unitRevoking
+		}
+	}
+	if len(grants) > 0 {
+		u.session.revoking = t.control(now, u, Call{Kind: RevokeUnits, Grants: grants})
+	}
+}
+
+func (t *Table) revokeDone(now time.Time, u *upstream, c *call, res ControlResult) {
+	for _, g := range c.call.Grants {
+		x := u.units[g.Unit]
+		if x == nil || x.mine || x.state == unitReleased {
+			continue
+		}
+		if res.OK && x.own.Fence == g.Fence {
+			t.release(u, x, "revoked")
+		} else {
+			x.state = unitDraining
+		}
+	}
+	switch {
+	case res.Refused:
+		t.refused(now, u, res)
+	case u.session.phase == phaseClear && !res.OK:
+		t.lose(now, u, "no response to revoke")
+	}
+	u.forgetGone()
+}
+
+// expireReleases releases units that can no longer have an effect although the
+// upstream has confirmed nothing.
+func (t *Table) expireReleases(now time.Time, u *upstream) {
+	for _, x := range u.list {
+		if x.mine || x.state == unitReleased {
+			continue
+		}
+		switch {
+		case u.duty.Fenced && t.leaseOver(now, u):
+			t.release(u, x, "lease ended")
+		case !u.duty.Fenced && t.quiet(now, u, x):
+			t.release(u, x, "no request outstanding")
+		}
+	}
+	u.forgetGone()
+}
+
+// leaseOver reports whether the lease of an upstream that does not answer must
+// have ended. A previous dispatcher may have renewed it until this one's
+// assignment was in force.
+func (t *Table) leaseOver(now time.Time, u *upstream) bool {
+	s := &u.session
+	if s.phase != phaseHello || u.duty.Taken.IsZero() {
+		return false
+	}
+	end := u.duty.Taken.Add(t.cfg.LeaseTTL)
+	if s.leaseMax.After(end) {
+		end = s.leaseMax
+	}
+	return now.After(end.Add(driftMargin))
+}
+
+// quiet reports whether no request for the unit can still run at an unfenced
+// upstream: neither an own one nor one of a previous dispatcher.
+func (t *Table) quiet(now time.Time, u *upstream, x *unit) bool {
+	if u.duty.Taken.IsZero() {
+		return false
+	}
+	longest := u.duty.Timeout
+	if longest <= 0 {
+		longest = t.cfg.LongestDeadline
+	}
+	if now.Before(u.duty.Taken.Add(longest + t.cfg.ClockSkew)) {
+		return false
+	}
+	for _, a := range u.open {
+		if a.unit == x.own.Unit && !now.After(a.request.Deadline.Add(t.cfg.ClockSkew)) {
+			return false
+		}
+	}
+	for _, g := range u.ghosts {
+		if g.unit == x.own.Unit && !now.After(g.runsUntil) {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Table) release(u *upstream, x *unit, why string) {
+	x.state = unitReleased
+	t.event(u, "released", x.own.Unit.String()+": "+why)
+}
+
+// Released answers another dispatcher: is every grant of the unit at the
+// upstream with a lower fence released?
+func (t *Table) Released(now time.Time, up fleet.UpstreamID, grants []fleet.Grant) []bool {
+	out := make([]bool, len(grants))
+	u := t.ups[up]
+	if u == nil || u.retired {
+		return out
+	}
+	t.expireReleases(now, u)
+	for i, g := range grants {
+		out[i] = u.promise(g)
+	}
+	return out
+}
+
+// promise reports whether older grants of the unit are released. If so, no lower
+// fence is granted later. Without this, an instance that learns an intermediate
+// assignment late would grant the unit after it had denied owning it.
+func (u *upstream) promise(g fleet.Grant) bool {
+	if x := u.units[g.Unit]; x != nil && (x.mine || x.state != unitReleased) {
+		return false
+	}
+	u.floors[g.Unit] = max(u.floors[g.Unit], g.Fence)
+	return true
+}
