--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,281 @@
+// Package upstream speaks to upstreams: control calls and requests.
+//
+// Renewals have connections of their own, so that requests on a silent
+// connection cannot delay them. After a control call without a response the next
+// one uses a new connection.
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/dispatch"
+	"github.com/parsleyproxy/parsleyproxy/internal/http1"
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+// Client holds the connections to upstreams.
+type Client struct {
+	client *http1.Client
+
+	mu    sync.Mutex
+	pools map[string]*pools
+}
+
+// pools are the connections to one address.
+type pools struct {
+	requests, control, renew *http1.Pool
+}
+
+type (
+	// Call is a control call, as package dispatch decides it.
+	Call = dispatch.Call
+	// Reply is the response to a control call.
+	Reply = dispatch.Reply
+)
+
+const (
+	// requestConns leaves the control connections room within the 120
+	// connections that an upstream accepts.
+	requestConns = 100
+	controlConns = 4
+	dialTimeout  = 200 * time.Millisecond
+)
+
+// New returns a client without connections.
+func New(client *http1.Client) *Client {
+	return &Client{client: client, pools: make(map[string]*pools)}
+}
+
+func (c *Client) pool(addr string) *pools {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[addr]
+	if p == nil {
+		conns := func(n int) *http1.Pool {
+			return c.client.NewPool(addr, http1.PoolConfig{MaxConns: n, DialTimeout: dialTimeout})
+		}
+		p = &pools{requests: conns(requestConns), control: conns(controlConns), renew: conns(controlConns)}
+		c.pools[addr] = p
+	}
+	return p
+}
+
+// CloseIdle closes the idle request connections to addr.
+func (c *Client) CloseIdle(addr string) { c.pool(addr).requests.CloseIdle() }
+
+// Forget closes all connections to addr. Requests in flight are lost.
+func (c *Client) Forget(addr string) {
+	c.mu.Lock()
+	p := c.pools[addr]
+	delete(c.pools, addr)
+	c.mu.Unlock()
+	if p != nil {
+		p.requests.Close()
+		p.control.Close()
+		p.renew.Close()
+	}
+}
+
+// RefusedError reports a control call that the upstream answered but did not
+// accept.
+type RefusedError struct {
+	Addr   string
+	Kind   dispatch.CallKind
+	Status int
+	Fence  fleet.Fence // highest dispatcher fence that the upstream has seen; 0 if not told
+}
+
+func (e *RefusedError) Error() string {
+	return e.Kind.String() + " refused by " + e.Addr + ": status " + strconv.Itoa(e.Status) + ", fence " + e.Fence.String()
+}
+
+// Control sends a control call. The error is a *RefusedError if the upstream
+// answered.
+func (c *Client) Control(ctx context.Context, addr string, call Call) (Reply, error) {
+	p := c.pool(addr).control
+	if call.Kind == dispatch.Hello || call.Kind == dispatch.Renew {
+		p = c.pool(addr).renew
+	}
+	res, err := p.Do(ctx, &http1.Request{
+		Method: http.MethodPost, Target: controlPath + call.Kind.String(),
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: EncodeCall(call),
+	})
+	if err != nil {
+		p.CloseIdle()
+		return Reply{}, errors.Wrapf(err, "%s to %s", call.Kind, addr)
+	}
+	if res.Status >= http.StatusInternalServerError {
+		return Reply{}, errors.Errorf("%s to %s: status %d", call.Kind, addr, res.Status)
+	}
+	reply, err := DecodeReply(res.Body)
+	if res.Status != http.StatusOK {
+		return Reply{}, &RefusedError{Addr: addr, Kind: call.Kind, Status: res.Status, Fence: reply.Fence}
+	}
+	if err != nil {
+		return Reply{}, errors.Wrapf(err, "%s to %s: response", call.Kind, addr)
+	}
+	return reply, nil
+}
+
+// ControlResult converts what Control returned for an action.
+func ControlResult(a dispatch.SendControl, reply Reply, err error) dispatch.ControlResult {
+	res := dispatch.ControlResult{Upstream: a.Upstream, Seq: a.Seq, Reply: reply, OK: err == nil}
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		res.Refused, res.Reply.Fence = true, refused.Fence
+	}
+	return res
+}
+
+// Request is one attempt of a caller's request.
+type Request struct {
+	Send    dispatch.SendRequest
+	Account fleet.AccountID
+	Method  string
+	Target  string
+	Host    string
+	Header  http.Header // without the caller key
+	Body    []byte
+}
+
+// Error is the end of an attempt without a response for the caller. It wraps a
+// *fleet.Refusal.
+type Error struct {
+	Kind    dispatch.ResultKind
+	Boot    fleet.BootID // if the upstream answered
+	Refusal *fleet.Refusal
+	Err     error // cause, or nil
+}
+
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return e.Refusal.Error()
+	}
+	return e.Refusal.Error() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the refusal.
+func (e *Error) Unwrap() error { return e.Refusal }
+
+// Result converts what Do returned for Table.Done.
+func Result(res *http1.Response, err error) dispatch.Result {
+	var e *Error
+	switch {
+	case err == nil:
+		return dispatch.Result{Kind: dispatch.Answered, Status: res.Status, Boot: fleet.BootID(res.Header.Get(fleet.HeaderBoot))}
+	case errors.As(err, &e):
+		return dispatch.Result{Kind: e.Kind, Boot: e.Boot, Refusal: e.Refusal}
+	default:
+		return dispatch.Result{Kind: dispatch.Lost}
+	}
+}
+
+// Do sends an attempt and waits for the response, the deadline or the end of
+// ctx. The error is an *Error.
+func (c *Client) Do(ctx context.Context, addr string, r Request) (*http1.Response, error) {
+	now := time.Now()
+	if !now.Before(r.Send.StartBy) || !now.Before(r.Send.Deadline) {
+		return nil, failure(dispatch.Skipped, fleet.ReasonDeadline, "the time to start has passed", nil)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Send.Deadline)
+	defer cancel()
+	p := c.pool(addr).requests
+	if r.Send.Fresh {
+		p.CloseIdle()
+	}
+	res, err := p.Do(ctx, &http1.Request{
+		Method: r.Method, Target: r.Target, Host: r.Host, Body: r.Body, Header: headers(now, r),
+	})
+	if err != nil {
+		return nil, classify(err)
+	}
+	if err := check(r.Send.ID, res); err != nil {
+		// The pool has taken the connection back already and closes it with the
+		// other idle ones.
+		if err.Kind == dispatch.BadAnswer {
+			p.CloseIdle()
+		}
+		return nil, err
+	}
+	return res, nil
+}
+
+func headers(now time.Time, r Request) http.Header {
+	h := r.Header.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	for _, name := range []string{fleet.HeaderShard, fleet.HeaderPin, fleet.HeaderAccount, fleet.HeaderOutcome, fleet.HeaderReason} {
+		h.Del(name)
+	}
+	if r.Send.Unit.Pin != "" {
+		h.Set(fleet.HeaderPin, url.PathEscape(string(r.Send.Unit.Pin)))
+	} else {
+		h.Set(fleet.HeaderShard, strconv.FormatUint(uint64(r.Send.Unit.Shard), 10))
+	}
+	if r.Account != "" {
+		h.Set(fleet.HeaderAccount, string(r.Account))
+	}
+	h.Set(fleet.HeaderDispatcherFence, r.Send.DispatcherFence.String())
+	h.Set(fleet.HeaderFence, r.Send.Fence.String())
+	h.Set(fleet.HeaderRequestID, string(r.Send.ID))
+	h.Set(fleet.HeaderDeadline, strconv.FormatInt(r.Send.Deadline.Sub(now).Milliseconds(), 10))
+	h.Set(fleet.HeaderStartBy, strconv.FormatInt(startBy(now, r.Send.StartBy), 10))
+	return h
+}
+
+// startBy converts to Unix milliseconds. The monotonic reading decides, because
+// the wall clock may have been set since the start-by time was computed.
+func startBy(now, by time.Time) int64 {
+	return now.Round(0).Add(by.Sub(now)).UnixMilli()
+}
+
+func failure(kind dispatch.ResultKind, reason fleet.Reason, detail string, cause error) *Error {
+	return &Error{Kind: kind, Refusal: &fleet.Refusal{Reason: reason, Detail: detail}, Err: cause}
+}
+
+func classify(err error) *Error {
+	var notSent *http1.NotSentError
+	switch {
+	case errors.As(err, &notSent) && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)):
+		return failure(dispatch.Skipped, fleet.ReasonDeadline, "the deadline passed before the request was sent", err)
+	case errors.As(err, &notSent) && (errors.Is(err, http1.ErrPoolFull) || errors.Is(err, http1.ErrPoolClosed)):
+		return failure(dispatch.Skipped, fleet.ReasonOverloaded, "no connection to the upstream is free", err)
+	case errors.As(err, &notSent):
+		return failure(dispatch.NotSent, fleet.ReasonNoOwner, "no connection to the owner", err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return failure(dispatch.TimedOut, fleet.ReasonTimeout, "no response before the deadline", err)
+	default:
+		return failure(dispatch.Lost, fleet.ReasonConnectionLost, "the connection to the upstream was lost", err)
+	}
+}
+
+// check returns why a response does not go to the caller, or nil.
+func check(id fleet.RequestID, res *http1.Response) *Error {
+	boot := fleet.BootID(res.Header.Get(fleet.HeaderBoot))
+	if res.Header.Get(fleet.HeaderRequestID) != string(id) || boot == "" {
+		return failure(dispatch.BadAnswer, fleet.ReasonBadAnswer, "the response belongs to another request", nil)
+	}
+	if res.Header.Get(fleet.HeaderOutcome) != string(fleet.NotRun) {
+		return nil
+	}
+	var err *Error
+	switch res.Status {
+	case http.StatusConflict:
+		err = failure(dispatch.Stale, fleet.ReasonNoOwner, "the upstream does not hold the grant", nil)
+	case http.StatusServiceUnavailable:
+		err = failure(dispatch.Shed, fleet.ReasonOverloaded, "the upstream has no free slot", nil)
+		err.Refusal.RetryAfter = time.Second
+	default:
+		err = failure(dispatch.Skipped, fleet.ReasonDeadline, "the upstream received the request too late", nil)
+	}
+	err.Boot = boot
+	return err
+}
