--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,6 +18,7 @@
 var commands = []func() *cli.Command{
 	storeCommand,
 	relayCommand,
+	upstreamCommand,
 }
 
 func main() {
