--- a/cmd/parsleyproxy/main.go
+++ b/cmd/parsleyproxy/main.go
@@ -1,4 +1,81 @@
 // Command parsleyproxy runs one instance of the router and its operator commands.
+//
+// Exit codes are listed with their meaning in exit.go and in docs/operations.md.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args, os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run executes one command line and returns the exit code. Results go to stdout,
+// everything else to stderr.
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	err := newRoot(stdin, stdout, stderr).Run(ctx, args)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "parsleyproxy: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+func newRoot(stdin io.Reader, stdout, stderr io.Writer) *cli.Command {
+	root := &cli.Command{
+		Name:  "parsleyproxy",
+		Usage: "route HTTP requests to upstreams that own keys exclusively",
+		Description: "Every change reads the catalogue, edits it and stores it if nobody else has\n" +
+			"changed it in the meantime. A lost race is an error that names the revision that won;\n" +
+			"nothing is retried.\n\n" + exitCodeHelp,
+		Reader: stdin, Writer: stdout, ErrWriter: stderr,
+		EnableShellCompletion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // run prints the error
+		Commands: []*cli.Command{
+			serveCommand(),
+			catalogueCommand(),
+			entryCommand(),
+			accountCommand(),
+			keyCommand(),
+			outCommand(),
+			backCommand(),
+			statusCommand(),
+			explainCommand(),
+		},
+	}
+	prepare(root)
+	return root
+}
+
+// prepare makes usage errors of every command exit with codeUsage and gives
+// groups an action that says what is missing.
+func prepare(c *cli.Command) {
+	c.HideHelpCommand = true
+	c.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return &usageError{fmt.Sprintf("%v; see %s --help", err, cmd.FullName())}
+	}
+	if c.Action == nil {
+		c.Action = func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return &usageError{fmt.Sprintf("unknown command %q; see %s --help", cmd.Args().First(), cmd.FullName())}
+			}
+			return &usageError{fmt.Sprintf("a command is required; see %s --help", cmd.FullName())}
+		}
+	}
+	for _, sub := range c.Commands {
+		prepare(sub)
+	}
+}
