Join the packages into a running instance

Cause: the decision packages and the clients existed apart from each other.

Change: internal/peer (jsonrpc2 with an HMAC handshake), internal/route, internal/caller and internal/instance; `parsleyproxy serve` runs it. Reports of dispatchers carry requests in flight and queued.

--- a/cmd/parsleyproxy/serve.go
+++ b/cmd/parsleyproxy/serve.go
@@ -2,13 +2,22 @@
 
 import (
 	"context"
+	"os"
 
-	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/instance"
 	"github.com/parsleyproxy/parsleyproxy/internal/settings"
 )
 
 // runServe runs an instance until ctx ends and it has shut down.
-var runServe = func(context.Context, settings.Serve) error {
-	return errors.New("serve is not built in")
+var runServe = func(ctx context.Context, cfg settings.Serve) error {
+	log := hclog.New(&hclog.LoggerOptions{
+		Name: "parsleyproxy", Level: cfg.LogLevel, Output: os.Stderr, JSONFormat: cfg.LogFormat == settings.LogJSON,
+	})
+	n, err := instance.New(cfg, log)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
 }
--- a/internal/assignment/ownership.go
+++ b/internal/assignment/ownership.go
@@ -14,6 +14,8 @@
 type Report struct {
 	Lost         bool
 	Limit, Slots fleet.Slots   // present and warm concurrency limit
+	InFlight     fleet.Slots
+	Queued       int
 	Load         float64       // requests per second
 	Granted      []fleet.Grant // handovers complete
 	Hot          []HotKey
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -258,6 +258,7 @@
 		r := assignment.Report{
 			Lost: u.session.lost, Limit: u.warming.limit, Slots: u.duty.Slots,
 			Load: u.hot.load, Hot: slices.Clone(u.hot.top),
+			InFlight: fleet.Slots(len(u.open)), Queued: len(u.waiting()),
 		}
 		for _, x := range u.list {
 			if x.mine && x.state == unitGranted && len(x.own.Previous) > 0 {
--- /dev/null
+++ b/internal/instance/operators.go
@@ -0,0 +1,233 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-faster/jx"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/assignment"
+	"github.com/parsleyproxy/parsleyproxy/internal/authority"
+	"github.com/parsleyproxy/parsleyproxy/internal/operator"
+	"github.com/parsleyproxy/parsleyproxy/internal/peer"
+	"github.com/parsleyproxy/parsleyproxy/internal/platform"
+	"github.com/parsleyproxy/parsleyproxy/pkg/catalogue"
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+const (
+	// explainLimit bounds the moves and the refusals of an explanation.
+	explainLimit = 20
+	applyTimeout = 3 * time.Second
+)
+
+// operators is the instance as operators see it.
+type operators struct{ *Instance }
+
+// Catalogue returns the catalogue that this instance knows.
+func (n operators) Catalogue(context.Context) (*catalogue.Catalogue, fleet.Revision, error) {
+	s := n.snapshot()
+	return s.catalogue, s.known.Catalogue, nil
+}
+
+// Apply stores an edit of the catalogue that is based on a revision.
+func (n operators) Apply(ctx context.Context, base fleet.Revision, c *catalogue.Catalogue, by string) (fleet.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	now, value := time.Now(), c.Format()
+	n.metrics.StoreCall("swap")
+	rev, err := n.store.Swap(ctx, platform.KeyCatalogue, base, value, by, now)
+	if err != nil {
+		n.poke()
+		return 0, operatorError(err)
+	}
+	if err := n.learn(time.Now(), peer.RecordsAnswer{CatalogueRevision: rev, Catalogue: value}); err != nil {
+		return 0, err
+	}
+	n.event(now, "catalogue", "revision "+formatRevision(rev)+" written by "+by)
+	n.poke()
+	return rev, nil
+}
+
+func operatorError(err error) error {
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return &operator.ConflictError{Base: conflict.Expected, Current: conflict.Current, By: conflict.By}
+	}
+	var unknown *platform.UnknownError
+	if errors.As(err, &unknown) {
+		return &operator.UnknownError{Err: err}
+	}
+	return &operator.UnavailableError{Err: err}
+}
+
+// InForce reports how far a catalogue revision has come.
+func (n operators) InForce(_ context.Context, rev fleet.Revision) (operator.Progress, error) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.snapshot()
+	p := operator.Progress{Revision: rev, Members: len(s.assignment.Members)}
+	for _, m := range s.assignment.Members {
+		if m.ID == n.self.ID {
+			if s.known.Catalogue >= rev {
+				p.Learned++
+			}
+			continue
+		}
+		if v := n.members.seen[m.ID]; v != nil && !v.at.IsZero() && v.answer.Known.Catalogue >= rev {
+			p.Learned++
+		}
+	}
+	p.InForce = s.known.Catalogue >= rev && n.auth.InForce(now, authority.Known{Catalogue: rev})
+	if at, ok := n.revisions.inForceSince(rev); ok {
+		p.Since = at
+	}
+	return p, nil
+}
+
+// Status returns the fleet as this instance sees it.
+func (n operators) Status(context.Context) (operator.Status, error) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.snapshot()
+	out := operator.Status{
+		Instance: n.self.ID, Zone: n.self.Zone, Boot: n.self.Boot, Now: now,
+		Authority: n.auth.Until(), StoreAnswered: n.storeAnswered,
+		Catalogue: s.known.Catalogue, Assignment: s.known.Assignment,
+		OutOfService: s.catalogue.OutOfService,
+	}
+	for _, m := range s.assignment.Members {
+		heard := now
+		if m.ID != n.self.ID {
+			heard = n.members.seen[m.ID].at
+		}
+		if out.Planner == "" && (m.ID == n.self.ID || n.members.alive(now, m.ID)) {
+			out.Planner = m.ID
+		}
+		out.Members = append(out.Members, operator.MemberStatus{ID: m.ID, Zone: m.Zone, Address: m.Address, Heard: heard})
+	}
+	reports := n.reports(now)
+	for _, u := range s.assignment.Upstreams {
+		row := operator.UpstreamStatus{ID: u.ID, Service: u.Service, Zone: u.Zone, Dispatcher: u.Dispatcher, State: string(u.State)}
+		if r, ok := reports[u.ID]; ok {
+			row.Known, row.Limit, row.Slots, row.InFlight, row.Queued = true, r.Limit, r.Slots, r.InFlight, r.Queued
+		}
+		out.Upstreams = append(out.Upstreams, row)
+	}
+	return out, nil
+}
+
+// Explain answers from this instance's memory and that of every other member.
+func (n operators) Explain(ctx context.Context, q operator.Query) (operator.Explanation, error) {
+	out := n.explainHere(q)
+	s := n.snapshot()
+	request := peer.ExplainRequest{Query: []byte(operator.QueryValues(q).Encode())}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, m := range s.assignment.Members {
+		if m.ID == n.self.ID {
+			continue
+		}
+		wg.Go(func() {
+			x, err := n.explainAt(ctx, m, request)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				out.Missing = append(out.Missing, m.ID)
+				return
+			}
+			out.Answered = append(out.Answered, m.ID)
+			out.Moves = append(out.Moves, x.Moves...)
+			out.Refusals = append(out.Refusals, x.Refusals...)
+		})
+	}
+	wg.Wait()
+	slices.Sort(out.Answered)
+	slices.Sort(out.Missing)
+	slices.SortStableFunc(out.Moves, func(a, b operator.Move) int { return b.At.Compare(a.At) })
+	slices.SortStableFunc(out.Refusals, func(a, b operator.Refused) int { return b.At.Compare(a.At) })
+	out.Moves = out.Moves[:min(len(out.Moves), explainLimit)]
+	out.Refusals = out.Refusals[:min(len(out.Refusals), explainLimit)]
+	if out.Owner != nil {
+		for _, m := range out.Moves {
+			if m.Fence == out.Owner.Fence {
+				out.Owner.Since = m.At
+			}
+		}
+	}
+	return out, nil
+}
+
+func (n *Instance) explainAt(ctx context.Context, m assignment.Member, q peer.ExplainRequest) (operator.Explanation, error) {
+	var x operator.Explanation
+	a, err := n.peers.Explain(ctx, m.Address, q)
+	if err != nil {
+		return x, err
+	}
+	return x, x.Decode(jx.DecodeBytes(a.Explanation))
+}
+
+// Explain answers another instance's query from this instance's memory.
+func (n *Instance) Explain(_ context.Context, q peer.ExplainRequest) peer.ExplainAnswer {
+	values, err := url.ParseQuery(string(q.Query))
+	if err != nil {
+		return peer.ExplainAnswer{}
+	}
+	query, err := operator.ParseQuery(values)
+	if err != nil {
+		return peer.ExplainAnswer{}
+	}
+	var e jx.Encoder
+	n.explainHere(query).Encode(&e)
+	return peer.ExplainAnswer{Explanation: bytes.Clone(e.Bytes())}
+}
+
+func (n *Instance) explainHere(q operator.Query) operator.Explanation {
+	out := operator.Explanation{Answered: []fleet.InstanceID{n.self.ID}}
+	switch q := q.(type) {
+	case operator.KeyQuery:
+		n.explainKey(q, &out)
+	case operator.RequestQuery:
+		n.explainRefusals(&out, func(r refusedRequest) bool { return r.id == q.ID })
+	case operator.AccountQuery:
+		n.explainRefusals(&out, func(r refusedRequest) bool { return r.account == q.ID })
+	}
+	return out
+}
+
+func (n *Instance) explainKey(q operator.KeyQuery, out *operator.Explanation) {
+	s := n.snapshot()
+	service, _ := s.service(q.Service)
+	own, ok := s.assignment.Owner(q.Service, q.Key, service.Shards)
+	if !ok {
+		return
+	}
+	up, _ := s.upstream(own.Owner)
+	out.Owner = &operator.Ownership{Unit: own.Unit, Owner: own.Owner, Fence: own.Fence, Dispatcher: up.Dispatcher, Previous: own.Previous}
+	for _, m := range n.moves.newest(explainLimit, func(m assignment.Move) bool { return m.Unit == own.Unit }) {
+		out.Moves = append(out.Moves, operator.Move{
+			At: m.at, Unit: m.item.Unit, From: m.item.From, To: m.item.To, Fence: m.item.Fence,
+			Cause: string(m.item.Cause), Detail: m.item.Detail,
+		})
+	}
+	n.explainRefusals(out, func(r refusedRequest) bool { return r.key == q.Key && r.service == q.Service })
+}
+
+func (n *Instance) explainRefusals(out *operator.Explanation, match func(refusedRequest) bool) {
+	for _, r := range n.refusals.newest(explainLimit, match) {
+		out.Refusals = append(out.Refusals, operator.Refused{
+			At: r.at, Instance: n.self.ID, Request: r.item.id, Account: r.item.account, Entry: r.item.entry,
+			Key: r.item.key, Reason: r.item.refusal.Reason, Detail: r.item.refusal.Detail,
+		})
+	}
+}
+
+func formatRevision(r fleet.Revision) string { return strconv.FormatUint(uint64(r), 10) }
