--- a/internal/limit/holder.go
+++ b/internal/limit/holder.go
@@ -27,6 +27,8 @@
 	// patience is how long requests wait for a home that does not answer. A planned
 	// move of the home takes less, the loss of a home takes longer.
 	patience = 300 * time.Millisecond
+	// probeAfter separates calls to such a home after that.
+	probeAfter = 50 * time.Millisecond
 	// unavailableRetry is the advice when the home does not answer.
 	unavailableRetry = time.Second
 	// forgetAfter removes limits that no request names.
@@ -284,10 +286,13 @@
 
 func (p *purse) fail(sent time.Time) {
 	p.ended(sent)
-	p.callAt = sent.Add(againAfter)
 	if p.failing.IsZero() {
 		p.failing = sent
 	}
+	p.callAt = sent.Add(againAfter)
+	if sent.Sub(p.failing) >= patience {
+		p.callAt = sent.Add(probeAfter)
+	}
 }
 
 // due reports whether a call is to be made without a request that waits now.
--- a/internal/limit/home.go
+++ b/internal/limit/home.go
@@ -32,11 +32,11 @@
 
 // Activate makes this instance the home of a limit, with level tokens available.
 // The level is what the former home's Release returned, or 0 if the former home is
-// gone or there was none. It does nothing if the limit is active.
+// gone or there was none. A limit that is active already starts again: an instance
+// whose authority lapsed cannot know whether there was another home in between, and
+// activates its limits again with level 0.
 func (h *Home) Activate(now time.Time, id fleet.LimitID, level fleet.Tokens) {
-	if _, ok := h.buckets[id]; !ok {
-		h.buckets[id] = &bucket{level: nano(max(level, 0)), last: now}
-	}
+	h.buckets[id] = &bucket{level: nano(max(level, 0)), last: now}
 }
 
 // Active reports whether this instance is the home of the limit.
@@ -56,8 +56,9 @@
 	return b.level.tokens()
 }
 
-// Take answers a call. The limit l is the one of the home's catalogue. Without
-// Activate nothing is granted and the TTL of the lease is 0.
+// Take answers a call. The limit l is the one of the home's catalogue; an empty call
+// applies a changed one at once. Without Activate nothing is granted and the TTL of
+// the lease is 0.
 func (h *Home) Take(now time.Time, l fleet.Limit, holder fleet.InstanceID, c Call) Lease {
 	b, ok := h.buckets[c.ID]
 	if !ok {
@@ -120,6 +121,9 @@
 		b.level, b.last, b.limit = 0, now, l
 		b.start(ttl)
 	}
+	// The change came at some time since the last call. The lower rate counts for
+	// all of it, since a rate that was cut must not refill the bucket.
+	b.limit.Rate = min(b.limit.Rate, l.Rate)
 	b.settle(now)
 	b.limit = l
 	b.cap()
@@ -176,13 +180,13 @@
 }
 
 // grantable gives waiting requests what there is. Spare tokens come from the upper
-// half of the bucket only, so that no request is refused for tokens that lie idle
+// quarter of the bucket only, so that few requests are refused for tokens that lie idle
 // at another holder.
 func (b *bucket) grantable(c Call) fleet.Tokens {
 	available := b.level.tokens()
 	room := max(0, maxOutstanding(b.limit.Burst)-b.outstanding)
 	n := min(max(c.Waiting, 0), available, room)
-	spare := min(c.Spare, available-n-(b.limit.Burst+1)/2, room-n)
+	spare := min(c.Spare, available-n-(3*b.limit.Burst+3)/4, room-n)
 	return n + max(spare, 0)
 }
 
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -36,7 +36,7 @@
 type Call struct {
 	ID      fleet.LimitID
 	Waiting fleet.Tokens // for requests that wait
-	Spare   fleet.Tokens // for requests expected within 50 ms; granted while the bucket is half full
+	Spare   fleet.Tokens // for requests expected within 50 ms; granted while the bucket is three quarters full
 	Closed  []Closed
 }
 
