--- a/cmd/parsleyproxy/session.go
+++ b/cmd/parsleyproxy/session.go
@@ -51,6 +51,8 @@
 	}
 }
 
+var errNoName = usagef("--by or PARSLEY_BY: want the name to record with the change")
+
 // session is the connection of one command to the operator API.
 type session struct {
 	cmd    *cli.Command
@@ -121,7 +123,7 @@
 		s.logf("dry run on revision %d: nothing was stored", base)
 		return false, nil
 	case by == "":
-		return false, usagef("--by or PARSLEY_BY: want the name to record with the change")
+		return false, errNoName
 	}
 	rev, err := s.apply(ctx, base, edited, by)
 	if err != nil {
@@ -265,6 +267,8 @@
 			return err
 		case cmd.Bool("dry-run"):
 			return &operator.ConflictError{Base: base, Current: rev}
+		case cmd.String("by") == "":
+			return errNoName
 		}
 		// The base is outdated; the store says who won. Without this call the
 		// operator would only learn the revision.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	by := r.Header.Get(headerOperator)
+	by := strings.TrimSpace(r.Header.Get(headerOperator)) // nbhttp reads an empty value as a space
 	if err := checkBy(by); err != nil {
 		return nil, err
 	}
--- a/pkg/catalogue/check.go
+++ b/pkg/catalogue/check.go
@@ -263,8 +263,8 @@
 		return
 	}
 	printable := func(r rune) bool { return unicode.IsPrint(r) && r != utf8.RuneError }
-	if len(v) > maxText || !utf8.ValidString(v) || strings.ContainsFunc(v, func(r rune) bool { return !printable(r) }) {
-		k.fail(field, "%q: want printable characters, at most %d bytes", v, maxText)
+	if len(v) > maxText || !utf8.ValidString(v) || v != strings.TrimSpace(v) || strings.ContainsFunc(v, func(r rune) bool { return !printable(r) }) {
+		k.fail(field, "%q: want printable characters without spaces at either end, at most %d bytes", v, maxText)
 	}
 }
 
