--- a/internal/operator/alarms.go
+++ b/internal/operator/alarms.go
@@ -29,6 +29,14 @@
 	AlarmOutOfServiceOld AlarmName = "out-of-service-old"
 )
 
+// AlarmNames returns every name, the most severe first.
+func AlarmNames() []AlarmName {
+	return []AlarmName{
+		AlarmNoAuthority, AlarmServiceDown, AlarmMajoritySilent, AlarmMemberSilent, AlarmNotMember,
+		AlarmStoreSilent, AlarmUpstreamLost, AlarmNoDispatcher, AlarmUpstreamCold, AlarmOutOfServiceOld,
+	}
+}
+
 const (
 	// storeSilence is above the 250 ms between reads plus a slow response.
 	storeSilence = 2 * time.Second
