dispatch: answer released only on proof

Cause: longer runs of the generated sequences found two upstreams holding one unit. A dispatcher with an older assignment answered for grants that another dispatcher had made since; and a revocation before the takeover was in force was undone when the upstream restarted and forgot the dispatcher fence. Change: a release needs an assignment at or above the asker's fence, and a revocation sent after the assignment is in force. This replaces the promise not to grant lower fences.

--- a/internal/dispatch/control.go
+++ b/internal/dispatch/control.go
@@ -107,7 +107,7 @@
 	var grants []fleet.Grant
 	if u.duty.Fenced {
 		for _, x := range u.list {
-			if !x.mine && x.state != unitReleased {
+			if !x.mine && x.state == unitDraining {
 				grants = append(grants, x.revocation())
 			}
 		}
--- a/internal/dispatch/grants.go
+++ b/internal/dispatch/grants.go
@@ -18,6 +18,7 @@
 	unitGranted
 	unitDraining // not owned any more; attempts are open
 	unitRevoking
+	unitCleared // revoked before the previous dispatcher could be ruled out
 	unitReleased
 )
 
@@ -119,7 +120,7 @@
 		case unitGranting, unitGranted:
 			x.state = unitUngranted
 			u.unqueue(x)
-		case unitRevoking:
+		case unitRevoking, unitCleared:
 			x.state = unitDraining
 		default:
 		}
@@ -150,7 +151,7 @@
 // grantable reports whether a grant may be sent. Attempts under an older fence
 // end first, since the upstream would refuse them after the grant.
 func (x *unit) grantable(u *upstream) bool {
-	return x.mine && x.state == unitUngranted && x.own.Fence >= u.floors[x.own.Unit] &&
+	return x.mine && x.state == unitUngranted &&
 		(x.held == x.own.Fence || u.openIn(x) == 0)
 }
 
@@ -171,7 +172,7 @@
 				continue
 			}
 			if p := t.ups[prev]; p != nil && !p.retired {
-				x.released[prev] = p.promise(g)
+				x.released[prev] = p.hasReleased(g)
 				continue
 			}
 			i := slices.IndexFunc(asks, func(a AskReleased) bool { return a.Previous == prev })
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -25,7 +25,8 @@
 	}
 	var grants []fleet.Grant
 	for _, x := range u.list {
-		if len(grants) < maxGrants && !x.mine && x.state == unitDraining && u.openIn(x) == 0 {
+		due := x.state == unitDraining || (x.state == unitCleared && u.confirmed(now))
+		if len(grants) < maxGrants && !x.mine && due && u.openIn(x) == 0 {
 			grants = append(grants, x.revocation())
 			x.state = unitRevoking
 		}
@@ -35,16 +36,26 @@
 	}
 }
 
+// confirmed reports whether the previous dispatcher had no authority any more.
+// Until then a revocation is no release: an upstream that restarts forgets the
+// dispatcher fence, and the previous dispatcher could grant the unit again.
+func (u *upstream) confirmed(at time.Time) bool {
+	return !u.duty.Taken.IsZero() && !at.Before(u.duty.Taken)
+}
+
 func (t *Table) revokeDone(now time.Time, u *upstream, c *call, res ControlResult) {
 	for _, g := range c.call.Grants {
 		x := u.units[g.Unit]
 		if x == nil || x.mine || x.state == unitReleased {
 			continue
 		}
-		if res.OK && x.own.Fence == g.Fence {
-			t.release(u, x, "revoked")
-		} else {
+		switch {
+		case !res.OK || x.own.Fence != g.Fence:
 			x.state = unitDraining
+		case u.confirmed(c.sent):
+			t.release(u, x, "revoked")
+		default:
+			x.state = unitCleared
 		}
 	}
 	switch {
@@ -129,18 +140,15 @@
 	}
 	t.expireReleases(now, u)
 	for i, g := range grants {
-		out[i] = u.promise(g)
+		out[i] = u.hasReleased(g)
 	}
 	return out
 }
 
-// promise reports whether older grants of the unit are released. If so, no lower
-// fence is granted later. Without this, an instance that learns an intermediate
-// assignment late would grant the unit after it had denied owning it.
-func (u *upstream) promise(g fleet.Grant) bool {
-	if x := u.units[g.Unit]; x != nil && (x.mine || x.state != unitReleased) {
-		return false
-	}
-	u.floors[g.Unit] = max(u.floors[g.Unit], g.Fence)
-	return true
+// hasReleased needs an assignment that names the asker's fence or a later one.
+// An older assignment says nothing about grants that another dispatcher of the
+// upstream made since.
+func (u *upstream) hasReleased(g fleet.Grant) bool {
+	x := u.units[g.Unit]
+	return x != nil && !x.mine && x.state == unitReleased && x.own.Fence >= g.Fence
 }
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -122,8 +122,7 @@
 	warming      warming
 	queue        queue
 	units        map[fleet.Unit]*unit
-	list         []*unit                    // by unit
-	floors       map[fleet.Unit]fleet.Fence // a lower fence was reported as released
+	list         []*unit // by unit
 	open         []*attempt
 	ghosts       []ghost
 	nextAsk      time.Time
@@ -152,8 +151,7 @@
 	u := t.ups[d.Upstream]
 	if u == nil {
 		u = &upstream{
-			id: d.Upstream, units: make(map[fleet.Unit]*unit), floors: make(map[fleet.Unit]fleet.Fence),
-			hot: newHotKeys(now),
+			id: d.Upstream, units: make(map[fleet.Unit]*unit), hot: newHotKeys(now),
 		}
 		u.warming.reset(d.ColdSlots)
 		t.ups[d.Upstream] = u
