standin: add the open-loop load generator

Tests of tail latency and of limits need arrivals that do not slow down with the answers. Package load and the command 'standin load' send a Poisson process per client account and write the callers' history. Not run against the router yet.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,6 +19,7 @@
 	storeCommand,
 	relayCommand,
 	upstreamCommand,
+	loadCommand,
 }
 
 func main() {
