standin: add the report over the histories of a run

Guarantees and service figures have to be computed the same way for the router, its baseline and earlier versions.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,6 +20,7 @@
 	relayCommand,
 	upstreamCommand,
 	loadCommand,
+	reportCommand,
 }
 
 func main() {
--- /dev/null
+++ b/cmd/standin/report.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/standin/report"
+)
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name: "report", Usage: "compute the figures of a run from the histories in its directory", ArgsUsage: "RUN-DIR",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "compare", Usage: "compare with the report in `FILE`"},
+			&cli.StringFlag{Name: "direct", Usage: "report in `FILE` of a run over direct connections, for the added latency"},
+		},
+		Action: runReport,
+	}
+}
+
+func runReport(_ context.Context, c *cli.Command) error {
+	dir := c.Args().First()
+	if dir == "" || c.Args().Len() > 1 {
+		return errors.New("want one argument: the run's directory")
+	}
+	h, err := report.Read(dir)
+	if err != nil {
+		return err
+	}
+	r := report.Compute(h)
+	if name := c.String("direct"); name != "" {
+		direct, err := readReport(name)
+		if err != nil {
+			return err
+		}
+		r.AddLatencyAgainst(direct)
+	}
+	out := c.Root().Writer
+	fmt.Fprint(out, r.Table())
+	if err := os.WriteFile(filepath.Join(dir, report.File), r.Encode(), 0o644); err != nil {
+		return errors.Wrap(err, "write the report")
+	}
+	if name := c.String("compare"); name != "" {
+		earlier, err := readReport(name)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "\ncompared with %s\n%s", name, r.Compare(earlier))
+	}
+	if broken := r.Broken(); len(broken) > 0 {
+		return errors.Errorf("%d of the figures that must be 0 are not", len(broken))
+	}
+	return nil
+}
+
+func readReport(name string) (report.Report, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return report.Report{}, err
+	}
+	r, err := report.Decode(data)
+	return r, errors.Wrap(err, name)
+}
