standin: add the baseline router and the demo

The router has to be compared with the simplest router and with direct connections under the same load and faults.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,8 @@
 	upstreamCommand,
 	loadCommand,
 	reportCommand,
+	baselineCommand,
+	demoCommand,
 }
 
 func main() {
--- a/cmd/standin/report.go
+++ b/cmd/standin/report.go
@@ -16,6 +16,7 @@
 	return &cli.Command{
 		Name: "report", Usage: "compute the figures of a run from the histories in its directory", ArgsUsage: "RUN-DIR",
 		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "upstreams", Usage: "`DIR` of the upstreams' histories (default: RUN-DIR)"},
 			&cli.StringFlag{Name: "compare", Usage: "compare with the report in `FILE`"},
 			&cli.StringFlag{Name: "direct", Usage: "report in `FILE` of a run over direct connections, for the added latency"},
 		},
@@ -28,7 +29,11 @@
 	if dir == "" || c.Args().Len() > 1 {
 		return errors.New("want one argument: the run's directory")
 	}
-	h, err := report.Read(dir)
+	upstreams := c.String("upstreams")
+	if upstreams == "" {
+		upstreams = dir
+	}
+	h, err := report.Read(dir, upstreams)
 	if err != nil {
 		return err
 	}
@@ -64,5 +69,8 @@
 		return report.Report{}, err
 	}
 	r, err := report.Decode(data)
-	return r, errors.Wrap(err, name)
+	if err != nil {
+		return report.Report{}, errors.Wrap(err, name)
+	}
+	return r, nil
 }
--- a/internal/standin/lab/fleet.go
+++ b/internal/standin/lab/fleet.go
@@ -231,9 +231,13 @@
 	if f.Kind != Router {
 		fencing = catalogue.FencingNone
 	}
+	cold := s.Cold
+	if f.Kind == Direct {
+		cold = s.Slots // nobody paces direct callers while upstreams warm
+	}
 	args := []string{
 		"upstream", "--name", string(u.ID), "--service", string(u.Service), "--zone", string(u.Zone),
-		"--slots", strconv.Itoa(s.Slots), "--cold-slots", strconv.Itoa(s.Cold), "--warm-time", s.WarmTime.String(),
+		"--slots", strconv.Itoa(s.Slots), "--cold-slots", strconv.Itoa(cold), "--warm-time", s.WarmTime.String(),
 		"--service-time", s.ServiceTime.String(), "--fencing", string(fencing), "--drain-time", "0s",
 		"--seed", strconv.FormatUint(f.Seed*1000+uint64(index), 10),
 		"--history", filepath.Join(f.Dir, "upstream-"+string(u.ID)+".jsonl"),
--- a/internal/standin/lab/traffic.go
+++ b/internal/standin/lab/traffic.go
@@ -54,6 +54,9 @@
 		if !t.Steady {
 			source.Times = a.Times
 		}
+		if a.Sticky > 0 && f.Kind != Direct {
+			source.Target, source.Share = string(f.Instances[0].ID), a.Sticky
+		}
 		args = append(args, "--account", source.Format())
 	}
 	for _, s := range f.Shape.Services {
--- a/internal/standin/report/checks.go
+++ b/internal/standin/report/checks.go
@@ -104,7 +104,7 @@
 			n++
 		}
 	}
-	return max(n, h.Overloads)
+	return max(n, len(h.Overloads))
 }
 
 func (h *History) inZoneOut() (n int) {
--- a/internal/standin/report/history.go
+++ b/internal/standin/report/history.go
@@ -56,7 +56,7 @@
 	Run        Run
 	Calls      []Call      // by T0
 	Executions []Execution // by Start
-	Overloads  int         // events at which an upstream was given more than it bears
+	Overloads  []int64     // times at which an upstream was given more than it bears
 	LastEvent  map[fleet.BootID]int64
 }
 
@@ -68,9 +68,10 @@
 	wrong   = load.OutcomeWrong
 )
 
-// Read reads the description and the histories in dir: load*.jsonl and
-// upstream-*.jsonl.
-func Read(dir string) (*History, error) {
+// Read reads the description and the callers' histories (load*.jsonl) in dir, and
+// the histories of the upstreams (upstream-*.jsonl) in upstreams. Executions
+// outside the time of the calls belong to another phase and are left out.
+func Read(dir, upstreams string) (*History, error) {
 	data, err := os.ReadFile(filepath.Join(dir, RunFile))
 	if err != nil {
 		return nil, errors.Wrap(err, "read the run's description")
@@ -83,14 +84,18 @@
 	for _, group := range []struct {
 		pattern string
 		read    func(io.Reader) error
-	}{{"load*.jsonl", h.ReadCalls}, {"upstream-*.jsonl", h.ReadUpstream}} {
-		names, _ := filepath.Glob(filepath.Join(dir, group.pattern))
+	}{{filepath.Join(dir, "load*.jsonl"), h.ReadCalls}, {filepath.Join(upstreams, "upstream-*.jsonl"), h.ReadUpstream}} {
+		names, err := filepath.Glob(group.pattern)
+		if err != nil {
+			return nil, err
+		}
 		for _, name := range names {
 			if err := readFile(name, group.read); err != nil {
 				return nil, err
 			}
 		}
 	}
+	h.cut()
 	// Checks over an empty history would pass without having checked anything.
 	if len(h.Calls) == 0 || len(h.Executions) == 0 {
 		return nil, errors.Errorf("%s holds %d calls and %d executions: want both", dir, len(h.Calls), len(h.Executions))
@@ -99,6 +104,17 @@
 	return h, nil
 }
 
+// cut removes the executions outside the time of the calls.
+func (h *History) cut() {
+	if len(h.Calls) == 0 {
+		return
+	}
+	from, to := h.span()
+	inside := func(t int64) bool { return t >= from && t <= to }
+	h.Executions = slices.DeleteFunc(h.Executions, func(x Execution) bool { return !inside(x.Start) })
+	h.Overloads = slices.DeleteFunc(h.Overloads, func(t int64) bool { return !inside(t) })
+}
+
 // NewHistory returns a history without events.
 func NewHistory(run Run) *History {
 	return &History{Run: run, LastEvent: make(map[fleet.BootID]int64)}
@@ -110,7 +126,10 @@
 		return err
 	}
 	defer func() { _ = f.Close() }()
-	return errors.Wrap(read(f), name)
+	if err := read(f); err != nil {
+		return errors.Wrap(err, name)
+	}
+	return nil
 }
 
 func (h *History) sort() {
@@ -180,7 +199,10 @@
 		default:
 			err = d.Skip()
 		}
-		return errors.Wrap(err, name)
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+		return nil
 	})
 }
 
@@ -215,7 +237,7 @@
 			open[id] = append(open[id], len(h.Executions))
 			h.Executions = append(h.Executions, v.execution())
 		case "overload":
-			h.Overloads++
+			h.Overloads = append(h.Overloads, v.t)
 		case "end":
 			if len(open[id]) == 0 {
 				return errors.Errorf("request %q ends without a start", v.request)
@@ -257,6 +279,7 @@
 func (h *History) span() (from, to int64) {
 	from = h.Calls[0].T0
 	for _, c := range h.Calls {
+		from = min(from, c.T0)
 		to = max(to, c.T1)
 	}
 	return from, to
--- a/internal/standin/report/run.go
+++ b/internal/standin/report/run.go
@@ -69,7 +69,10 @@
 
 // Write writes the description into dir.
 func (r Run) Write(dir string) error {
-	return errors.Wrap(os.WriteFile(filepath.Join(dir, RunFile), r.encode(), 0o644), "write the run's description")
+	if err := os.WriteFile(filepath.Join(dir, RunFile), r.encode(), 0o644); err != nil {
+		return errors.Wrap(err, "write the run's description")
+	}
+	return nil
 }
 
 func (r Run) encode() []byte {
@@ -186,8 +189,11 @@
 		}
 		return d.Arr(func(d *jx.Decoder) error {
 			v, err := decodeFields(d)
+			if err != nil {
+				return errors.Wrap(err, name)
+			}
 			f(v)
-			return errors.Wrap(err, name)
+			return nil
 		})
 	})
 	return r, err
