--- a/internal/standin/lab/process.go
+++ b/internal/standin/lab/process.go
@@ -139,6 +139,6 @@
 	case <-p.done:
 		return true
 	case <-timer.C:
-		return false
+		return p.ended()
 	}
 }
