--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,6 +19,10 @@
 	storeCommand,
 	relayCommand,
 	upstreamCommand,
+	loadCommand,
+	reportCommand,
+	baselineCommand,
+	demoCommand,
 }
 
 func main() {
