http1: close without waiting for nbio, drain without spinning

Cause: nbio's Stop is lost when it comes before its pollers run, so Client.Close could wait for ever: a run of all tests hung for 10 minutes. Its accept loop spins on a closed listener. The idle timeout of nbhttp stays armed during the next request and cuts it. The race detector does not see the order that epoll gives between acceptor and poller. ParseCallerKeyHash wrote past its array for input of more than 64 digits (found by the catalogue's fuzz target).

Change: all clients share one engine that is never stopped, Close closes their pools; a listener whose Accept waits for the engine after it was closed; own idle times in the pool; the read deadline is lifted while a request runs; a counter that the detector sees; the length is checked first.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,23 +30,42 @@
 	logging.SetLevel(logging.LevelNone)
 }
 
-// Client owns the event loops shared by its pools.
+// Client is a group of pools that close together.
 type Client struct {
 	engine *nbhttp.Engine
+
+	mu    sync.Mutex
+	pools []*Pool
 }
 
-// NewClient starts the event loops.
-func NewClient() (*Client, error) {
+// sharedEngine starts the event loops of all clients of the process. They are
+// never stopped: nbio loses a Stop that comes before its pollers run, and then
+// waits for ever.
+var sharedEngine = sync.OnceValues(func() (*nbhttp.Engine, error) {
 	engine := nbhttp.NewEngine(nbhttp.Config{Name: "http1-client", SupportServerOnly: true})
 	if err := engine.Start(); err != nil {
 		return nil, errors.Wrap(err, "start client engine")
 	}
+	return engine, nil
+})
+
+// NewClient returns a client without pools.
+func NewClient() (*Client, error) {
+	engine, err := sharedEngine()
+	if err != nil {
+		return nil, err
+	}
 	return &Client{engine: engine}, nil
 }
 
-// Close ends the event loops and every connection.
+// Close closes every pool.
 func (c *Client) Close() {
-	c.engine.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.Close()
+	}
+	c.pools = nil
 }
 
 // Request is an HTTP request with its whole body.
@@ -131,7 +151,17 @@
 	if cfg.IdleTimeout <= 0 {
 		cfg.IdleTimeout = defaultIdleTimeout
 	}
-	return &Pool{client: c, addr: addr, cfg: cfg, open: make(map[*conn]struct{})}
+	p := &Pool{client: c, addr: addr, cfg: cfg, open: make(map[*conn]struct{})}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pools = append(c.pools, p)
+	return p
+}
+
+func (c *Client) forget(p *Pool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pools = slices.DeleteFunc(c.pools, func(q *Pool) bool { return q == p })
 }
 
 // Addr returns the address of the pool.
@@ -139,6 +169,7 @@
 
 // Close closes every connection; requests in flight end with a LostError.
 func (p *Pool) Close() {
+	go p.client.forget(p) // Client.Close holds the client's lock
 	p.mu.Lock()
 	p.closed = true
 	open := make([]*conn, 0, len(p.open))
@@ -148,7 +179,7 @@
 	p.idle = nil
 	p.mu.Unlock()
 	for _, c := range open {
-		c.cc.CloseWithError(ErrPoolClosed)
+		c.close(ErrPoolClosed)
 	}
 }
 
@@ -160,7 +191,7 @@
 	p.idle = nil
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.cc.CloseWithError(io.EOF)
+		c.close(io.EOF)
 	}
 }
 
@@ -211,6 +242,7 @@
 	if p.closed {
 		return nil, ErrPoolClosed
 	}
+	p.closeStale(time.Now())
 	if n := len(p.idle); n > 0 {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
@@ -224,16 +256,29 @@
 	return c, nil
 }
 
+// closeStale closes connections that were idle for too long. nbhttp's own idle
+// timeout stays armed during the next request and would cut it. The caller holds
+// mu.
+func (p *Pool) closeStale(now time.Time) {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].idleSince) >= p.cfg.IdleTimeout {
+		c := p.idle[0]
+		p.idle = p.idle[1:]
+		delete(p.open, c)
+		go c.cc.CloseWithError(io.EOF)
+	}
+}
+
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	_, open := p.open[c]
 	keep := open && !p.closed
 	if keep {
+		c.idleSince = time.Now()
 		p.idle = append(p.idle, c)
 	}
 	p.mu.Unlock()
 	if !keep {
-		c.cc.CloseWithError(io.EOF)
+		c.close(io.EOF)
 	}
 }
 
@@ -255,13 +300,14 @@
 	pool   *Pool
 	cc     *nbhttp.ClientConn
 	dialed bool // written before the request is, read after its end
+
+	idleSince time.Time // guarded by the pool
 }
 
 func newConn(p *Pool) *conn {
 	c := &conn{pool: p}
 	c.cc = &nbhttp.ClientConn{
-		Engine:          p.client.engine,
-		IdleConnTimeout: p.cfg.IdleTimeout,
+		Engine: p.client.engine,
 		Dial: func(network, addr string) (net.Conn, error) {
 			nc, err := net.DialTimeout(network, addr, p.cfg.DialTimeout)
 			c.dialed = err == nil
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -106,7 +106,7 @@
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	s := listen(t, func(http.ResponseWriter, *http.Request) {})
 	addr := s.Addr()
-	_ = s.listener.Close()
+	_ = s.listener.Listener.Close()
 	_, err := newPool(t, addr).Do(t.Context(), &Request{Method: "GET", Target: "/"})
 	var notSent *NotSentError
 	if !errors.As(err, &notSent) {
@@ -161,3 +161,38 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a Close that waits for ever, which nbio's Stop does when it
+// comes before the pollers run.
+func TestCloseReturns(t *testing.T) {
+	for range 300 {
+		c, err := NewClient()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.NewPool("127.0.0.1:1", PoolConfig{})
+		c.Close()
+	}
+}
+
+// Guards against an idle timeout that cuts the request after it.
+func TestIdleTimeoutSparesNextRequest(t *testing.T) {
+	s := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-time.After(100 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	c, err := NewClient()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	p := c.NewPool(s.Addr(), PoolConfig{IdleTimeout: 50 * time.Millisecond})
+	for _, target := range []string{"/", "/slow"} {
+		res, err := p.Do(t.Context(), &Request{Method: "GET", Target: target})
+		if err != nil || string(res.Body) != "whole" {
+			t.Errorf("%s: %v, %v", target, res, err)
+		}
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 )
 
@@ -41,7 +42,7 @@
 type Server struct {
 	engine   *nbhttp.Engine
 	handler  http.Handler
-	listener net.Listener
+	listener *listener
 	draining atomic.Bool
 	inflight atomic.Int64
 	lastUse  atomic.Int64 // Unix nanoseconds of the last request's end
@@ -71,10 +72,18 @@
 		Handler:                 http.HandlerFunc(s.serve),
 		Listen: func(network, addr string) (net.Listener, error) {
 			ln, err := net.Listen(network, addr)
-			s.listener = ln
-			return ln, err
+			s.listener = &listener{Listener: ln, stopped: make(chan struct{})}
+			return s.listener, err
 		},
 	})
+	// The acceptor hands a connection to the poller through epoll, which the race
+	// detector does not see as an order. The counter is one that it sees.
+	var opened atomic.Int64
+	s.engine.OnOpen(func(net.Conn) { opened.Add(1) })
+	s.engine.OnData(func(c *nbio.Conn, data []byte) {
+		opened.Load()
+		c.DataHandler()(c, data)
+	})
 	if err := s.engine.Start(); err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Addr)
 	}
@@ -82,6 +91,29 @@
 	return s, nil
 }
 
+// listener stops accepting before the engine stops. The engine's accept loop
+// would spin on a closed listener, so Accept waits for the engine instead.
+type listener struct {
+	net.Listener
+	once    sync.Once
+	stopped chan struct{}
+}
+
+// Accept waits for a connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		<-l.stopped
+	}
+	return c, err
+}
+
+// Close is called by the engine when it stops.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.stopped) })
+	return l.Listener.Close()
+}
+
 func orDefault[T int | time.Duration](v, def T) T {
 	if v <= 0 {
 		return def
@@ -99,7 +131,7 @@
 // a moment, and closes what is left. It returns ctx's error if that comes first.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	_ = s.listener.Close()
+	_ = s.listener.Listener.Close()
 	idleFrom := time.Now()
 	tick := time.NewTicker(disconnectCheck)
 	defer tick.Stop()
@@ -152,6 +184,10 @@
 			x.conn, _ = res.Parser.Conn.(interface{ IsClosed() (bool, error) })
 		}
 	}
+	if c, ok := x.conn.(net.Conn); ok {
+		// The deadline for the arrival of a request would cut one that takes longer.
+		_ = c.SetReadDeadline(time.Time{})
+	}
 	s.mu.Lock()
 	s.running[x] = struct{}{}
 	s.mu.Unlock()
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -131,8 +131,11 @@
 // ParseCallerKeyHash parses 64 hexadecimal digits.
 func ParseCallerKeyHash(s string) (CallerKeyHash, error) {
 	var h CallerKeyHash
-	if n, err := hex.Decode(h[:], []byte(s)); err != nil || n != len(h) || len(s) != hex.EncodedLen(len(h)) {
-		return CallerKeyHash{}, errors.Errorf("caller key hash %q: want %d hexadecimal digits", s, hex.EncodedLen(len(h)))
+	if len(s) != hex.EncodedLen(len(h)) {
+		return CallerKeyHash{}, errors.Errorf("caller key hash: want %d hexadecimal digits, not %d characters", hex.EncodedLen(len(h)), len(s))
+	}
+	if _, err := hex.Decode(h[:], []byte(s)); err != nil {
+		return CallerKeyHash{}, errors.Errorf("caller key hash: want %d hexadecimal digits", hex.EncodedLen(len(h)))
 	}
 	return h, nil
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
@@ -33,3 +34,18 @@
 		}
 	}
 }
+
+// Guards against a hash that is too long, which made the decoder write past its
+// end, and against an error that repeats what may be a caller key.
+func TestParseCallerKeyHash(t *testing.T) {
+	want := fleet.CallerKey("x").Hash()
+	if got, err := fleet.ParseCallerKeyHash(want.String()); err != nil || !got.Equal(want) {
+		t.Errorf("ParseCallerKeyHash(own form) = %v, %v", got, err)
+	}
+	for _, s := range []string{"", "ab", "secret-caller-key", want.String() + "00", strings.Repeat("x", 64)} {
+		_, err := fleet.ParseCallerKeyHash(s)
+		if err == nil || s != "" && strings.Contains(err.Error(), s) {
+			t.Errorf("ParseCallerKeyHash(%q) = %v", s, err)
+		}
+	}
+}
