--- a/internal/platform/record.go
+++ b/internal/platform/record.go
@@ -154,10 +154,12 @@
 
 // decodeChanges decodes the answer of GET /v1/changes.
 func decodeChanges(data []byte) (c Changes, err error) {
+	complete := false
 	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, field string) (err error) {
 		switch field {
 		case "revision":
 			c.Revision, err = decodeRevision(d)
+			complete = true
 		case "entries":
 			err = d.Arr(func(d *jx.Decoder) error {
 				r, err := decodeEntry(d)
@@ -169,9 +171,15 @@
 		}
 		return inField(err, field)
 	})
+	if err == nil && !complete {
+		err = errNoRevision
+	}
 	return c, err
 }
 
+// errNoRevision keeps an answer without a revision apart from revision 0.
+var errNoRevision = errors.New("field revision is missing")
+
 func decodeEntry(d *jx.Decoder) (r Record, err error) {
 	var value []byte
 	err = d.Obj(func(d *jx.Decoder, field string) (err error) {
@@ -200,13 +208,18 @@
 
 // decodeStored decodes {"revision":n}, the answer to a write and to a conflict.
 func decodeStored(data []byte) (rev fleet.Revision, err error) {
+	complete := false
 	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, field string) (err error) {
 		if field != "revision" {
 			return d.Skip()
 		}
+		complete = true
 		rev, err = decodeRevision(d)
 		return inField(err, field)
 	})
+	if err == nil && !complete {
+		err = errNoRevision
+	}
 	return rev, err
 }
 
--- /dev/null
+++ b/internal/platform/record_test.go
@@ -0,0 +1,67 @@
+package platform
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+// Guards against a value, a name or a history that the envelope changes.
+func TestEnvelopeRoundTrip(t *testing.T) {
+	value := rapid.OneOf(
+		rapid.SliceOf(rapid.Byte()),
+		rapid.Map(rapid.String(), func(s string) []byte { return []byte("{" + s + "}") }),
+		rapid.SampledFrom([][]byte{[]byte(`{"a":{"b":[1, 2]} }`), []byte(" {} "), []byte(`{"a":"\u0000"}`), []byte("{}{}")}),
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		want := Record{
+			WriteID: rapid.String().Draw(t, "write-id"),
+			By:      rapid.String().Draw(t, "by"),
+			At:      time.Unix(rapid.Int64Range(0, 1<<33).Draw(t, "s"), rapid.Int64Range(0, 1e9-1).Draw(t, "ns")).UTC(),
+			Value:   nonNil(value.Draw(t, "value")),
+		}
+		for range rapid.IntRange(0, maxBase).Draw(t, "base") {
+			want.Base = append(want.Base, Write{
+				Revision: fleet.Revision(rapid.Uint64().Draw(t, "revision")),
+				ID:       rapid.String().Draw(t, "id"),
+				By:       rapid.String().Draw(t, "by"),
+			})
+		}
+		var got Record
+		if err := decodeEnvelope(encodeEnvelope(&want), &got); err != nil {
+			t.Fatal(err)
+		}
+		got.Value = nonNil(got.Value)
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// Guards against a damaged answer that is taken for an empty store, or that ends
+// the process.
+func TestDamagedAnswers(t *testing.T) {
+	whole := `{"revision":2,"entries":[{"key":"k","value":"eyJ2YWx1ZSI6e319","revision":2}]}`
+	if c, err := decodeChanges([]byte(whole)); err != nil || len(c.Records) != 1 {
+		t.Fatalf("decodeChanges = %+v, %v", c, err)
+	}
+	for n := range len(whole) {
+		if c, err := decodeChanges([]byte(whole[:n])); err == nil {
+			t.Errorf("%q decoded as %+v", whole[:n], c)
+		}
+	}
+	if c, err := decodeChanges([]byte("{}")); err == nil {
+		t.Errorf("{} decoded as %+v", c)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		data := rapid.SliceOf(rapid.Byte()).Draw(t, "data")
+		_, _ = decodeChanges(data)
+		_, _ = DecodeList(data)
+		_, _ = decodeStored(data)
+		_ = decodeEnvelope(data, &Record{})
+	})
+}
--- a/internal/platform/swap.go
+++ b/internal/platform/swap.go
@@ -39,17 +39,12 @@
 			}
 			pause = min(max(2*pause, minPause), maxPause)
 			var v verdict
-			if v, err = w.readBack(ctx); err != nil {
+			if v, err = w.readBack(ctx, sendErr); err != nil {
 				continue
 			}
 			if v, ok := v.(settled); ok {
 				return v.rev, v.err
 			}
-			var conflict *conflictStatus
-			if errors.As(sendErr, &conflict) {
-				// The key is below the expected revision, so no attempt can have matched.
-				return 0, w.conflict(ctx, conflict.current)
-			}
 			break // still at the expected revision
 		}
 	}
@@ -140,13 +135,19 @@
 func (settled) isVerdict()   {}
 func (unchanged) isVerdict() {}
 
-// readBack looks for the write in the stored record and its history.
-func (w *swap) readBack(ctx context.Context) (verdict, error) {
+// readBack looks for the write in the stored record and its history. sendErr is
+// the error of the last attempt.
+func (w *swap) readBack(ctx context.Context, sendErr error) (verdict, error) {
 	r, changed, err := w.latest(ctx, w.expect)
 	if err != nil {
 		return nil, err
 	}
-	if !changed {
+	var conflict *conflictStatus
+	switch {
+	case !changed && errors.As(sendErr, &conflict):
+		// The key is below the expected revision, so no attempt can have matched.
+		return settled{err: w.conflict(ctx, conflict.current)}, nil
+	case !changed:
 		return unchanged{}, nil
 	}
 	w.current = r.Revision
