Keep caller keys off the command line's errors and end commands at once

Cause: a granted caller key that began with a dash was taken for a flag by key withdraw and repeated in the error (seen in 1 of 30 runs of TestKeys). A command that failed at once could hang: nbio's Engine.Stop never returns if it comes before the first run of a poller's goroutine, which resets its shutdown flag (seen under load: TestEdits ran into its 10 min limit, spinning).

Change: keys start with pk_; usage errors of key withdraw do not repeat the argument; commands share event loops that are not stopped. The client of the operator tests likewise. Checks build the names of items only for faults.

--- a/cmd/parsleyproxy/commands.go
+++ b/cmd/parsleyproxy/commands.go
@@ -133,6 +133,10 @@
 				Name: "withdraw", Usage: "withdraw a caller key by its hash, or by its first 8 digits or more", ArgsUsage: "HASH",
 				Description: "With - as HASH the caller key itself is read from standard input.",
 				Flags:       changeFlags(), Action: withdrawKey,
+				// The argument may be a caller key by mistake; the library's errors repeat it.
+				OnUsageError: func(_ context.Context, cmd *cli.Command, _ error, _ bool) error {
+					return usagef("unknown flag or bad value; see %s --help", cmd.FullName())
+				},
 			},
 		},
 	}
--- a/cmd/parsleyproxy/edit.go
+++ b/cmd/parsleyproxy/edit.go
@@ -20,7 +20,10 @@
 
 const (
 	callerKeyBytes = 32 // random bytes of a caller key
-	minHashPrefix  = 8  // hexadecimal digits
+	// callerKeyPrefix keeps keys from starting with a dash, which command lines take
+	// for a flag and repeat in errors, and lets secret scanners find them.
+	callerKeyPrefix = "pk_"
+	minHashPrefix   = 8 // hexadecimal digits
 )
 
 // editNamed runs an edit of the item that the only argument names.
@@ -149,7 +152,7 @@
 	if _, err := rand.Read(secret); err != nil {
 		return errors.Wrap(err, "random bytes for the caller key")
 	}
-	key := fleet.CallerKey(base64.RawURLEncoding.EncodeToString(secret))
+	key := fleet.CallerKey(callerKeyPrefix + base64.RawURLEncoding.EncodeToString(secret))
 	return withSession(cmd, func(s *session) error {
 		stored, err := s.edit(ctx, func(c *catalogue.Catalogue) error {
 			c.CallerKeys = append(c.CallerKeys, catalogue.CallerKey{
--- a/cmd/parsleyproxy/main.go
+++ b/cmd/parsleyproxy/main.go
@@ -64,15 +64,17 @@
 // groups an action that says what is missing.
 func prepare(c *cli.Command) {
 	c.HideHelpCommand = true
-	c.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
-		return &usageError{fmt.Sprintf("%v; see %s --help", err, cmd.FullName())}
+	if c.OnUsageError == nil {
+		c.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+			return usagef("%v; see %s --help", err, cmd.FullName())
+		}
 	}
 	if c.Action == nil {
 		c.Action = func(_ context.Context, cmd *cli.Command) error {
 			if cmd.Args().Present() {
-				return &usageError{fmt.Sprintf("unknown command %q; see %s --help", cmd.Args().First(), cmd.FullName())}
+				return usagef("unknown command %q; see %s --help", cmd.Args().First(), cmd.FullName())
 			}
-			return &usageError{fmt.Sprintf("a command is required; see %s --help", cmd.FullName())}
+			return usagef("a command is required; see %s --help", cmd.FullName())
 		}
 	}
 	for _, sub := range c.Commands {
--- a/cmd/parsleyproxy/main_test.go
+++ b/cmd/parsleyproxy/main_test.go
@@ -281,8 +281,10 @@
 		t.Error("a caller key with an unknown outcome was printed")
 	}
 	f.applyErr = nil
-	if got := parsley(t, "", "key", "withdraw", string(key)); got.code != 2 || strings.Contains(got.err, string(key)) {
-		t.Errorf("caller key as argument: %d %s", got.code, got.err)
+	for _, arg := range []string{string(key), "-" + string(key)} { // a leading dash makes it a flag
+		if got := parsley(t, "", "key", "withdraw", arg); got.code != 2 || strings.Contains(got.err, string(key)) {
+			t.Errorf("caller key as argument: %d %s", got.code, got.err)
+		}
 	}
 	if got := parsley(t, string(key)+"\n", "key", "withdraw", "-"); got.code != 0 || len(f.cat.CallerKeys) != 1 {
 		t.Errorf("from standard input: %d %s", got.code, got.err)
--- a/cmd/parsleyproxy/session.go
+++ b/cmd/parsleyproxy/session.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -61,17 +62,21 @@
 	log    io.Writer // progress
 }
 
+// eventLoops are shared by the commands of the process and not closed: nbio's Stop
+// never returns if a poller's goroutine has not run yet, which a command that fails
+// at once provokes.
+var eventLoops = sync.OnceValues(http1.NewClient)
+
 // withSession runs f with a connection to the API.
 func withSession(cmd *cli.Command, f func(*session) error) error {
 	token := cmd.String("token")
 	if token == "" || strings.ContainsFunc(token, func(r rune) bool { return r <= ' ' || r > '~' }) {
 		return usagef("--token or PARSLEY_TOKEN: want the operator token, printable ASCII characters without spaces")
 	}
-	events, err := http1.NewClient()
+	events, err := eventLoops()
 	if err != nil {
 		return err
 	}
-	defer events.Close()
 	client := operator.NewClient(events, cmd.String("operator"), token)
 	defer client.Close()
 	return f(&session{cmd: cmd, client: client, out: cmd.Root().Writer, log: cmd.Root().ErrWriter})
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -76,6 +76,10 @@
 	return f.explain, nil
 }
 
+// eventLoops are not closed: nbio's Stop never returns if a poller's goroutine has
+// not run yet.
+var eventLoops = sync.OnceValues(http1.NewClient)
+
 func serve(t *testing.T, b operator.Backend) (*operator.Client, *http1.Pool) {
 	t.Helper()
 	s, err := http1.Listen(http1.ServerConfig{Addr: "127.0.0.1:0", Handler: operator.Handler(b, token)})
@@ -83,11 +87,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	events, err := http1.NewClient()
+	events, err := eventLoops()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(events.Close)
 	return operator.NewClient(events, s.Addr(), token), events.NewPool(s.Addr(), http1.PoolConfig{})
 }
 
@@ -184,11 +187,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	events, err := http1.NewClient()
+	events, err := eventLoops()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(events.Close)
 	c := operator.NewClient(events, s.Addr(), token)
 	var unknown *operator.UnknownError
 	if _, err := c.Apply(t.Context(), 1, &catalogue.Catalogue{}, "ana"); !errors.As(err, &unknown) {
@@ -241,11 +243,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	events, err := http1.NewClient()
+	events, err := eventLoops()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(events.Close)
 	if _, err := operator.NewClient(events, s.Addr(), "").Status(t.Context()); err == nil {
 		t.Error("an empty token was admitted")
 	}
--- a/pkg/catalogue/check.go
+++ b/pkg/catalogue/check.go
@@ -39,9 +39,9 @@
 
 // checker collects problems. Its current item is set by item.
 type checker struct {
-	problems []problem
-	path     string
-	name     string
+	problems         []problem
+	list, kind, name string
+	index            int
 }
 
 // Check returns every fault as an Errors, or nil.
@@ -118,8 +118,7 @@
 }
 
 func (k *checker) item(list, kind, name string, i int) {
-	k.path = "/" + list + "/" + strconv.Itoa(i)
-	k.name = itemName(kind, name, i)
+	k.list, k.kind, k.name, k.index = list, kind, name, i
 }
 
 func (k *checker) fail(field, format string, args ...any) {
@@ -127,7 +126,10 @@
 }
 
 func (k *checker) failAt(path, field, format string, args ...any) {
-	k.problems = append(k.problems, problem{k.path + path, k.name, field, fmt.Sprintf(format, args...)})
+	k.problems = append(k.problems, problem{
+		path: "/" + k.list + "/" + strconv.Itoa(k.index) + path,
+		item: itemName(k.kind, k.name, k.index), field: field, text: fmt.Sprintf(format, args...),
+	})
 }
 
 func (k *checker) services(in []Service) {
