--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -20,7 +20,7 @@
 // sendRevocations revokes units that have no open attempts.
 func (t *Table) sendRevocations(now time.Time, u *upstream) {
 	// A grant on its way could overtake the revocation.
-	if u.session.revoking != nil || u.session.granting != nil {
+	if u.session.revoking != nil || u.session.granting != nil || now.Before(u.nextRevoke) {
 		return
 	}
 	var grants []fleet.Grant
@@ -58,6 +58,9 @@
 			x.state = unitCleared
 		}
 	}
+	if !res.OK {
+		u.nextRevoke = now.Add(t.cfg.AskEvery)
+	}
 	switch {
 	case res.Refused:
 		t.refused(now, u, res)
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -127,6 +127,7 @@
 	ghosts       []ghost
 	nextAsk      time.Time
 	nextGrant    time.Time
+	nextRevoke   time.Time
 	hot          hotKeys
 }
 
