--- a/internal/standin/upstream/control.go
+++ b/internal/standin/upstream/control.go
@@ -96,6 +96,9 @@
 // Dispatcher returns the highest dispatcher fence that the upstream has seen.
 func (c *Control) Dispatcher() fleet.Fence { return c.dispatcher }
 
+// LeaseEnd returns the end of the lease, or 0 if there is none.
+func (c *Control) LeaseEnd() dispatch.Stamp { return c.leaseEnd }
+
 // Holds reports whether a request for the unit under the fence may run.
 func (c *Control) Holds(now dispatch.Stamp, unit fleet.Unit, fence fleet.Fence) bool {
 	if c.unfenced {
