--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -80,7 +80,7 @@
 		}
 	})
 	if err != nil {
-		return c, errors.Wrap(err, kind.String())
+		return Call{}, errors.Wrap(err, kind.String())
 	}
 	return c, nil
 }
@@ -141,7 +141,7 @@
 		}
 	})
 	if err != nil {
-		return r, errors.Wrap(err, "control response")
+		return Reply{}, errors.Wrap(err, "control response")
 	}
 	return r, nil
 }
