--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -45,6 +45,10 @@
 	Zone    fleet.ZoneID
 }
 
+// Run returns the id that stands for this run of the instance where knowledge
+// is counted: a later run does not know what this one has learned.
+func (m Member) Run() fleet.InstanceID { return m.ID + "@" + fleet.InstanceID(m.Boot) }
+
 // State says whether an upstream can own units.
 type State string
 
--- a/internal/assignment/decode.go
+++ b/internal/assignment/decode.go
@@ -1,6 +1,8 @@
 package assignment
 
 import (
+	"io"
+
 	"github.com/go-faster/errors"
 	"github.com/go-faster/jx"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
@@ -22,7 +24,7 @@
 	}); err != nil {
 		return nil, errors.Wrap(err, "assignment")
 	}
-	if in.Next() != jx.Invalid {
+	if err := in.Skip(); !errors.Is(err, io.EOF) {
 		return nil, errors.New("assignment: data after the end")
 	}
 	if err := d.check(); err != nil {
--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -11,6 +11,10 @@
 // the new list: two lists that differ by more than one member can have disjoint
 // majorities.
 //
+// The ids of a Table name runs of instances, see assignment.Member.Run. A restarted
+// instance has forgotten what its earlier run learned. If its answers counted for
+// that run, a majority could act on what a change in force has replaced.
+//
 // A Table is not safe for concurrent use.
 package authority
 
@@ -115,7 +119,6 @@
 	own               sightings
 	peers             map[fleet.InstanceID]*peer
 	gone              map[fleet.InstanceID]time.Time // zero as in listsAt
-	restarted         map[fleet.InstanceID]bool
 }
 
 // New returns a table without knowledge and without authority.
@@ -138,18 +141,6 @@
 	}
 }
 
-// SetRestarted names the listed members, possibly this instance, that run under
-// another boot id than the member list says. They have forgotten what an earlier
-// run learned, so they count in the size of the list, but their answers count
-// towards no majority. ConfirmGone may name them for the end of the earlier run.
-func (t *Table) SetRestarted(ids []fleet.InstanceID) {
-	t.restarted = make(map[fleet.InstanceID]bool, len(ids))
-	for _, id := range ids {
-		t.restarted[id] = true
-		delete(t.peers, id)
-	}
-}
-
 // Learn records that this instance has applied k.
 func (t *Table) Learn(now time.Time, k Known) {
 	t.tell(now)
@@ -176,7 +167,7 @@
 func (t *Table) PeerAnswered(sent, now time.Time, id fleet.InstanceID, k Known) {
 	t.tell(now)
 	t.newest = t.newest.Max(k)
-	if id == t.self || t.restarted[id] {
+	if id == t.self {
 		return
 	}
 	if at, ok := t.gone[id]; ok && sent.After(at) {
@@ -279,9 +270,6 @@
 }
 
 func (t *Table) sentTo(id fleet.InstanceID) (time.Time, bool) {
-	if t.restarted[id] {
-		return time.Time{}, false
-	}
 	if id == t.self {
 		return t.now, true
 	}
@@ -313,7 +301,7 @@
 
 func (t *Table) sawLearn(k Known) func(fleet.InstanceID) (time.Time, bool) {
 	return func(id fleet.InstanceID) (time.Time, bool) {
-		if id == t.self && !t.restarted[id] {
+		if id == t.self {
 			return t.own.since(k)
 		}
 		if p, ok := t.peers[id]; ok {
