Run the model's transitions against the code; start the wait at own learning

A rapid test executes reads, polls, plans, handovers, restarts and lost messages against authority, Plan and fake upstreams. It found that a change was in force at once when a majority of the members had ended before the change was written: their departure counted as the time of learning, while an instance could still act on a read of the store from before. The wait now starts no earlier than this instance learned the change.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -280,7 +280,9 @@
 }
 
 // learnedAt returns when majorities of both lists were known to have learned k.
-// It denies that while a newer assignment, with other lists, may exist.
+// It denies that while a newer assignment, with other lists, may exist. The time
+// is not before this instance learned k: members that were gone when k was written
+// do not prove that nobody acts on a read of the store from before.
 func (t *Table) learnedAt(k Known) (time.Time, bool) {
 	if len(t.members) == 0 || !t.known.Covers(k) || t.newest.Assignment > t.known.Assignment {
 		return time.Time{}, false
@@ -296,7 +298,10 @@
 		}
 		at = latest(at, before)
 	}
-	return latest(at, t.listsAt), true
+	if own, ok := t.own.since(k); ok {
+		return latest(latest(at, own), t.listsAt), true
+	}
+	return time.Time{}, false
 }
 
 func (t *Table) sawLearn(k Known) func(fleet.InstanceID) (time.Time, bool) {
--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -121,6 +121,10 @@
 	if !tab.Learned(k(1, 1)) || tab.InForce(at(100), k(1, 1)) || !tab.InForce(at(1100), k(1, 1)) {
 		t.Error("a gone member does not count as having learned, from the confirmation on")
 	}
+	tab.Learn(at(1150), k(2, 1))
+	if tab.InForce(at(1200), k(2, 1)) {
+		t.Error("a later change is in force by members that were gone before it")
+	}
 	if tab.Holds(at(1200)) {
 		t.Error("a gone member gives authority")
 	}
--- a/spec/protocol_test.go
+++ b/spec/protocol_test.go
@@ -119,10 +119,10 @@
 	for n := range 4 {
 		i := &instance{id: fleet.InstanceID(fmt.Sprintf("i%d", n))}
 		s.instances = append(s.instances, i)
+		s.restart(i)
 		if n < 3 {
 			in.Joining = append(in.Joining, i.member())
 		}
-		s.restart(i)
 	}
 	for _, l := range in.Listed {
 		s.ups[fleet.UpstreamID(l.Name)] = &upstream{granted: map[fleet.Unit]fleet.Fence{}, revoked: map[fleet.Unit]fleet.Fence{}}
@@ -184,6 +184,15 @@
 	return ids
 }
 
+// confirmGone tells i which listed runs the platform knows to have ended.
+func (s *sim) confirmGone(i *instance) {
+	ended := append(runs(i.a.Members), runs(i.a.PreviousMembers)...)
+	for _, j := range s.instances {
+		ended = slices.DeleteFunc(ended, func(id fleet.InstanceID) bool { return id == j.member().Run() })
+	}
+	i.table.ConfirmGone(ended)
+}
+
 // still runs f unless the instance has restarted in between.
 func still(i *instance, f func()) func() {
 	boot := i.boot
@@ -362,6 +371,7 @@
 	case n < 12:
 		s.now = s.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(s.t, "ms")) * time.Millisecond)
 	case n < 36:
+		s.confirmGone(i)
 		if s.chance("store", 2) {
 			s.read(i)
 		}
