--- a/internal/assignment/ownership.go
+++ b/internal/assignment/ownership.go
@@ -13,7 +13,7 @@
 // Report is what a dispatcher says about an upstream.
 type Report struct {
 	Lost         bool
-	Limit, Slots fleet.Slots   // present and warm concurrency limit
+	Limit, Slots fleet.Slots // present and warm concurrency limit
 	InFlight     fleet.Slots
 	Queued       int
 	Load         float64       // requests per second
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -269,6 +269,22 @@
 	return out
 }
 
+// LeaseLeft returns the shortest time for which the lease of a fenced upstream
+// that serves certainly lasts. It returns false if there is none.
+func (t *Table) LeaseLeft(now time.Time) (time.Duration, bool) {
+	var left time.Duration
+	found := false
+	for _, u := range t.order {
+		if !u.duty.Fenced || u.retired || u.session.phase != phaseUp {
+			continue
+		}
+		if d := u.session.leaseMin.Sub(now); !found || d < left {
+			left, found = d, true
+		}
+	}
+	return left, found
+}
+
 func (t *Table) emit(a Action) { t.out = append(t.out, a) }
 
 func (t *Table) event(u *upstream, kind, detail string) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -111,7 +111,7 @@
 		peers: peer.NewClient(peer.Secret(cfg.FleetSecret)), upstreams: upstream.New(client),
 		ctx: ctx, cancel: cancel,
 		pokeStore: make(chan struct{}, 1), pokePolls: make(chan struct{}, 1),
-		auth: authority.New(cfg.Instance, cfg.AuthorityTTL), members: newMemberTable(self.ID, self.Boot), phase: peer.Serving,
+		auth: authority.New(self.Run(), cfg.AuthorityTTL), members: newMemberTable(self.ID, self.Boot), phase: peer.Serving,
 		home: home, homes: newHomeTable(cfg.Instance, home), holder: limit.NewHolder(),
 		waits: map[fleet.LimitID]chan struct{}{}, dispatch: dispatch.New(dispatch.Config{Instance: cfg.Instance}),
 		terms: map[dutyKey]term{}, pending: map[fleet.RequestID]*pendingJob{}, attempts: map[attemptKey]context.CancelFunc{}, pools: map[string]*http1.Pool{},
@@ -358,6 +358,11 @@
 	}
 	n.observed = now
 	n.metrics.AuthorityLeft(n.auth.Until().Sub(now))
+	n.metrics.Upstreams(n.dispatch.Reports(now))
+	n.metrics.Members(n.members.heardCount(now))
+	if left, ok := n.dispatch.LeaseLeft(now); ok {
+		n.metrics.LeaseLeft(left)
+	}
 	for _, took := range n.revisions.settle(now, func(k authority.Known) bool { return n.auth.InForce(now, k) }) {
 		n.metrics.InForceAfter(took)
 	}
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -161,6 +161,17 @@
 	return s != nil && !s.at.IsZero() && now.Sub(s.at) <= lostAfter
 }
 
+// heardCount counts the live members, this one included.
+func (t *memberTable) heardCount(now time.Time) int {
+	count := 0
+	for id := range t.boots {
+		if id == t.self && t.boots[id] == t.boot || t.alive(now, id) {
+			count++
+		}
+	}
+	return count
+}
+
 // lost returns the members that a majority has not heard. Members that have
 // certainly ended do not count in the majority, and are lost themselves.
 func (t *memberTable) lost(now time.Time) []fleet.InstanceID {
@@ -312,13 +323,26 @@
 		n.confirmGone()
 		return
 	}
-	n.auth.PeerAnswered(sent, now, a.From, a.Known)
+	n.auth.PeerAnswered(sent, now, runOf(a.From, a.Boot), a.Known)
 }
 
 // confirmGone tells the authority table which members have certainly ended. The
 // caller holds mu.
 func (n *Instance) confirmGone() {
-	n.auth.ConfirmGone(n.members.departed())
+	var gone []fleet.InstanceID
+	for _, id := range n.members.departed() {
+		gone = append(gone, runOf(id, n.members.boots[id]))
+	}
+	for _, m := range n.snapshot().assignment.PreviousMembers {
+		if n.members.boots[m.ID] != m.Boot && n.members.ended(m.ID, m.Boot) {
+			gone = append(gone, m.Run())
+		}
+	}
+	n.auth.ConfirmGone(gone)
+}
+
+func runOf(id fleet.InstanceID, boot fleet.BootID) fleet.InstanceID {
+	return assignment.Member{ID: id, Boot: boot}.Run()
 }
 
 // runList reads the platform's instance list.
--- a/internal/instance/planner.go
+++ b/internal/instance/planner.go
@@ -8,7 +8,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/parsleyproxy/parsleyproxy/internal/assignment"
-	"github.com/parsleyproxy/parsleyproxy/internal/authority"
 	"github.com/parsleyproxy/parsleyproxy/internal/peer"
 	"github.com/parsleyproxy/parsleyproxy/internal/platform"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
@@ -79,7 +78,7 @@
 	s := n.snapshot()
 	in := assignment.Input{
 		Current: s.assignment, Catalogue: s.catalogue, Listed: n.listed,
-		Learned: len(s.assignment.Members) == 0 || n.auth.Learned(authority.Known{Assignment: s.known.Assignment}),
+		Learned: len(s.assignment.Members) == 0 || n.auth.Learned(s.known),
 		Lost:    n.members.lost(now), Leaving: n.members.leaving(now), Joining: n.members.joining(now),
 		Reports: n.reports(now), LastPin: n.lastPins(now),
 	}
@@ -134,7 +133,7 @@
 	}
 	n.mu.Unlock()
 	for _, m := range moves {
-		n.metrics.Move(string(m.Cause))
+		n.metrics.Move(m.Cause)
 		n.moves.add(now, m)
 	}
 	if len(moves) > 0 {
--- a/internal/instance/records.go
+++ b/internal/instance/records.go
@@ -113,13 +113,7 @@
 	if next.assignment != old.assignment {
 		n.members.update(now, next.assignment.Members)
 		n.homes.learn(now, next)
-		n.auth.SetMembers(ids(next.assignment.Members), ids(next.assignment.PreviousMembers))
-		// A restarted instance has forgotten what its earlier run learned.
-		if m, ok := next.member(n.self.ID); ok && m.Boot != n.self.Boot {
-			n.auth.SetRestarted([]fleet.InstanceID{n.self.ID})
-		} else {
-			n.auth.SetRestarted(nil)
-		}
+		n.auth.SetMembers(runs(next.assignment.Members), runs(next.assignment.PreviousMembers))
 		n.confirmGone()
 	}
 	n.auth.Learn(now, next.known)
@@ -138,6 +132,15 @@
 	return out
 }
 
+// runs names the processes behind members, as the authority table knows them.
+func runs(members []assignment.Member) []fleet.InstanceID {
+	out := make([]fleet.InstanceID, len(members))
+	for i, m := range members {
+		out[i] = m.Run()
+	}
+	return out
+}
+
 // readStore reads the records that are newer than the last read.
 func (n *Instance) readStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,7 +21,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
-
 )
 
 // Handler answers the messages of other instances.
@@ -335,4 +334,3 @@
 	HeaderRetryAfter = "Parsley-Retry-After-Ms"
 	HeaderDetail     = "Parsley-Detail"
 )
-
