--- a/internal/standin/lab/fleet.go
+++ b/internal/standin/lab/fleet.go
@@ -103,7 +103,7 @@
 
 // Start starts a fleet and waits until it serves. The caller must Close it. On
 // an error everything has been ended.
-func Start(ctx context.Context, o Options) (f *Fleet, err error) {
+func Start(ctx context.Context, o Options) (*Fleet, error) {
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return nil, err
 	}
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f = &Fleet{
+	f := &Fleet{
 		Options: o, client: client, starter: make(chan func()), stopped: make(chan struct{}),
 		processes: make(map[string]*Process),
 	}
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -159,15 +159,17 @@
 	arrivals, stop := context.WithTimeout(ctx, g.cfg.Duration)
 	defer stop()
 	began := time.Now()
-	var sources sync.WaitGroup
+	var sources, checks sync.WaitGroup
 	if g.cfg.Health > 0 {
 		g.health.checkAll(arrivals, g)
-		sources.Go(func() { g.health.watch(arrivals, g) })
+		checks.Go(func() { g.health.watch(arrivals, g) })
 	}
 	for i := range g.cfg.Accounts {
 		sources.Go(func() { g.source(arrivals, began, i) })
 	}
 	sources.Wait()
+	stop() // the bound on the count may have ended the arrivals earlier
+	checks.Wait()
 	g.requests.Wait()
 	g.mu.Lock()
 	defer g.mu.Unlock()
