--- a/internal/dispatch/table_test.go
+++ b/internal/dispatch/table_test.go
@@ -22,7 +22,9 @@
 	duty    dispatch.Duty
 	boot    fleet.BootID
 	silent  bool
-	actions []dispatch.Action // all but control calls and events
+	hold    bool                   // control calls end only with endCalls
+	held    []dispatch.SendControl // without an end yet
+	actions []dispatch.Action      // all but control calls and events
 	calls   []dispatch.Call
 	n       int
 }
@@ -47,6 +49,10 @@
 		switch a := a.(type) {
 		case dispatch.SendControl:
 			r.calls = append(r.calls, a.Call)
+			if r.hold {
+				r.held = append(r.held, a)
+				continue
+			}
 			res := dispatch.ControlResult{Upstream: a.Upstream, Seq: a.Seq, OK: !r.silent}
 			if !r.silent {
 				res.Reply = dispatch.Reply{Boot: r.boot, Stamp: 1, Fence: a.Call.DispatcherFence}
@@ -59,6 +65,25 @@
 	}
 }
 
+// endCalls reports the held control calls as lost.
+func (r *rig) endCalls() {
+	held := r.held
+	r.hold, r.held = false, nil
+	for _, a := range held {
+		r.exec(r.table.ControlDone(r.now, dispatch.ControlResult{Upstream: a.Upstream, Seq: a.Seq}))
+	}
+}
+
+// kinds returns the control calls since the last call.
+func (r *rig) kinds() []dispatch.CallKind {
+	out := make([]dispatch.CallKind, 0, len(r.calls))
+	for _, c := range r.calls {
+		out = append(out, c.Kind)
+	}
+	r.calls = nil
+	return out
+}
+
 // run advances the clock in steps of 10 ms.
 func (r *rig) run(d time.Duration) {
 	for end := r.now.Add(d); r.now.Before(end); {
@@ -238,6 +263,39 @@
 			r.run(30 * time.Millisecond) // hello, renewal and grant again
 			r.expect("send r1/1 fresh=false")
 		}},
+		"takeover revokes before its first renewal": {
+			change: func(d *dispatch.Duty) {
+				d.Units[0] = assignment.Ownership{Unit: unitOf(0), Owner: "u9", Fence: 12, Previous: []fleet.UpstreamID{"u0"}}
+			},
+			do: func(r *rig) {
+				if diff := cmp.Diff([]dispatch.CallKind{dispatch.Hello, dispatch.RevokeUnits, dispatch.Renew}, r.kinds()); diff != "" {
+					r.tb.Error(diff)
+				}
+			},
+		},
+		"no revocation while a grant is on its way": {do: func(r *rig) {
+			r.hold = true
+			r.assign(assignment.Ownership{Unit: unitOf(0), Owner: "u0", Fence: 12})
+			r.calls = nil
+			r.assign(assignment.Ownership{Unit: unitOf(0), Owner: "u9", Fence: 13, Previous: []fleet.UpstreamID{"u0"}})
+			if kinds := r.kinds(); len(kinds) > 0 {
+				r.tb.Errorf("calls while the grant has no end: %v", kinds)
+			}
+			r.endCalls()
+			r.run(30 * time.Millisecond)
+			r.expectReleased(13, true)
+		}},
+		"lost request holds its slot until the upstream noticed": {
+			change: func(d *dispatch.Duty) { d.Slots, d.ColdSlots = 1, 1 },
+			do: func(r *rig) {
+				r.done(r.submit("a", false, time.Second), 1, dispatch.Lost)
+				r.submit("a", false, time.Second)
+				r.run(90 * time.Millisecond)
+				r.expect("send r1/1 fresh=false", "refuse r1 connection-lost")
+				r.run(10 * time.Millisecond)
+				r.expect("send r2/1 fresh=false")
+			},
+		},
 		"no authority": {do: func(r *rig) {
 			r.exec(r.table.Tick(r.now, r.now))
 			r.submit("a", false, time.Second)
@@ -248,11 +306,7 @@
 			do: func(r *rig) {
 				r.boot, r.calls = "b2", nil
 				r.run(250 * time.Millisecond)
-				kinds := make([]dispatch.CallKind, 0, len(r.calls))
-				for _, c := range r.calls {
-					kinds = append(kinds, c.Kind)
-				}
-				if !slices.Contains(kinds, dispatch.Hello) || !slices.Contains(kinds, dispatch.GrantUnits) {
+				if kinds := r.kinds(); !slices.Contains(kinds, dispatch.Hello) || !slices.Contains(kinds, dispatch.GrantUnits) {
 					r.tb.Errorf("calls after the reboot: %v", kinds)
 				}
 				r.submit("a", false, time.Second)
