dispatch: follow sessions in the check of confirmed grants

Change: void grants when a call is sent, confirm them when it is answered; take the boot only from the last hello or renewal. The rule checked is the same.

--- a/internal/dispatch/check_test.go
+++ b/internal/dispatch/check_test.go
@@ -10,6 +10,7 @@
 // acked is what an upstream has confirmed to a dispatcher.
 type acked struct {
 	boot   int
+	beat   uint64 // the last hello or renewal
 	grants map[fleet.Unit]fleet.Fence
 }
 
@@ -44,17 +45,29 @@
 	}
 }
 
-// confirm notes what a control call changes.
-func (w *world) confirm(slot [2]int, call dispatch.Call, boot int, ok bool) {
+// sent notes what a control call voids. A hello begins a session without grants.
+func (w *world) sent(slot [2]int, a dispatch.SendControl) {
 	c := w.acked[slot]
-	if call.Kind == dispatch.Hello || c == nil {
+	if a.Call.Kind == dispatch.Hello || c == nil {
 		c = &acked{grants: make(map[fleet.Unit]fleet.Fence)}
 		w.acked[slot] = c
 	}
-	c.boot = boot
-	for _, g := range call.Grants {
+	if a.Call.Kind == dispatch.Hello || a.Call.Kind == dispatch.Renew {
+		c.beat = a.Seq
+	}
+	for _, g := range a.Call.Grants {
 		delete(c.grants, g.Unit)
-		if call.Kind == dispatch.GrantUnits && ok {
+	}
+}
+
+// confirm notes the response to a control call.
+func (w *world) confirm(slot [2]int, a dispatch.SendControl, boot int, ok bool) {
+	c := w.acked[slot]
+	if a.Seq == c.beat {
+		c.boot = boot
+	}
+	if a.Call.Kind == dispatch.GrantUnits && ok {
+		for _, g := range a.Call.Grants {
 			c.grants[g.Unit] = g.Fence
 		}
 	}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -395,9 +395,7 @@
 func (w *world) control(k int, a dispatch.SendControl) {
 	m, ended := w.ups[int(a.Upstream[1]-'0')], false
 	boot, sent, slot := m.boot, w.now, [2]int{k, int(a.Upstream[1] - '0')}
-	if a.Call.Kind == dispatch.RevokeUnits || a.Call.Kind == dispatch.Hello {
-		w.confirm(slot, a.Call, 0, false)
-	}
+	w.sent(slot, a)
 	finish := func(res dispatch.ControlResult) {
 		if !ended {
 			ended = true
@@ -423,7 +421,7 @@
 				answered := m.boot
 				w.after(w.delay(), func() {
 					if !ended {
-						w.confirm(slot, a.Call, answered, ok)
+						w.confirm(slot, a, answered, ok)
 					}
 					finish(dispatch.ControlResult{Reply: reply, OK: ok, Refused: !ok})
 				})
