dispatch: hold a pin back while its key runs under the shard

A pin names the owner of the shard as previous owner, but its release looked only at attempts under the pin itself. Requests for the key that were sent under the shard before the pin went on running, and requests that waited in the queue of the shard were still sent.

Change: a release counts the attempts for the keys of a unit, whatever unit they were sent under; a pin is revoked only after the shards of its service hold their new fences; waiting requests for a newly pinned key are refused (not-run) and routed again.

--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -89,6 +89,12 @@
 	return u, u.Owner != ""
 }
 
+// Shards returns the number of shards of a service, or 0.
+func (a *Assignment) Shards(service fleet.ServiceID) int {
+	s := a.spans[service]
+	return s.pins - s.lo
+}
+
 // Home returns the instance that keeps the token bucket: the member in service
 // with the highest hash of itself and the id. A change of the members moves only
 // the buckets of the members that changed.
--- a/internal/dispatch/grants.go
+++ b/internal/dispatch/grants.go
@@ -61,6 +61,7 @@
 	if x == nil {
 		x = &unit{state: unitDraining}
 		u.add(x, own)
+		t.refusePinned(u, own.Unit)
 	}
 	changed := x.own.Fence != own.Fence || x.mine != mine || x.gone
 	x.own, x.gone = own, false
@@ -75,6 +76,19 @@
 	}
 }
 
+// refusePinned refuses requests for a newly pinned key that wait under its shard;
+// their instance sends them to the owner of the pin.
+func (t *Table) refusePinned(u *upstream, pin fleet.Unit) {
+	if pin.Pin == "" {
+		return
+	}
+	for _, r := range u.waiting() {
+		if r.Key == pin.Pin && r.Unit.Service == pin.Service && r.Unit != pin {
+			t.drop(u, r, fleet.ReasonNoOwner, "the key "+pin.String()+" moved out of its shard")
+		}
+	}
+}
+
 func (u *upstream) add(x *unit, own assignment.Ownership) {
 	u.units[own.Unit] = x
 	at, _ := slices.BinarySearchFunc(u.list, own.Unit, func(y *unit, id fleet.Unit) int {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -237,6 +237,7 @@
 	return n
 }
 
+// openIn counts the open attempts under the unit.
 func (u *upstream) openIn(x *unit) int {
 	n := 0
 	for _, a := range u.open {
@@ -247,6 +248,34 @@
 	return n
 }
 
+// openFor counts the open attempts for keys of the unit, whatever unit they were
+// sent under.
+func (u *upstream) openFor(x *unit) int {
+	n := 0
+	for _, a := range u.open {
+		if u.concerns(x, a.unit, a.request.Key) {
+			n++
+		}
+	}
+	return n
+}
+
+// concerns reports whether a request for the key that was sent under the unit
+// sent is for a key of x. A key that was pinned may have been sent under its
+// shard, and a key whose pin ended under its pin.
+func (u *upstream) concerns(x *unit, sent fleet.Unit, key fleet.RoutingKey) bool {
+	switch own := x.own.Unit; {
+	case sent == own:
+		return true
+	case sent.Service != own.Service:
+		return false
+	case own.Pin != "":
+		return key == own.Pin
+	default:
+		return sent.Pin != "" && u.duty.Shards > 0 && key.Shard(u.duty.Shards) == own.Shard
+	}
+}
+
 // waiting returns all requests that wait at the upstream.
 func (u *upstream) waiting() []*request {
 	var out []*request
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -13,6 +13,7 @@
 // ghost is an attempt that ended without a response and may still run.
 type ghost struct {
 	unit      fleet.Unit
+	key       fleet.RoutingKey
 	slotUntil time.Time // the upstream has noticed the closed connection
 	runsUntil time.Time // the deadline has passed on every clock
 }
@@ -26,7 +27,7 @@
 	var grants []fleet.Grant
 	for _, x := range u.list {
 		due := x.state == unitDraining || (x.state == unitCleared && u.confirmed(now))
-		if len(grants) < maxGrants && !x.mine && due && u.openIn(x) == 0 {
+		if len(grants) < maxGrants && !x.mine && due && u.openFor(x) == 0 && (x.own.Unit.Pin == "" || u.shardsSettled()) {
 			grants = append(grants, x.revocation())
 			x.state = unitRevoking
 		}
@@ -36,6 +37,21 @@
 	}
 }
 
+// shardsSettled reports whether no shard is held under an older fence. A pin takes
+// its key out of a shard and gives the shard a new fence. Until that is granted,
+// a delayed request for the key could still start under the old one.
+func (u *upstream) shardsSettled() bool {
+	for _, x := range u.list {
+		if x.own.Unit.Pin != "" || x.held == 0 || x.state == unitReleased {
+			continue
+		}
+		if !x.mine || x.state != unitGranted || x.held != x.own.Fence {
+			return false
+		}
+	}
+	return true
+}
+
 // confirmed reports whether the previous dispatcher had no authority any more.
 // Until then a revocation is no release: an upstream that restarts forgets the
 // dispatcher fence, and the previous dispatcher could grant the unit again.
@@ -116,12 +132,12 @@
 		return false
 	}
 	for _, a := range u.open {
-		if a.unit == x.own.Unit && !now.After(a.request.Deadline.Add(t.cfg.ClockSkew)) {
+		if u.concerns(x, a.unit, a.request.Key) && !now.After(a.request.Deadline.Add(t.cfg.ClockSkew)) {
 			return false
 		}
 	}
 	for _, g := range u.ghosts {
-		if g.unit == x.own.Unit && !now.After(g.runsUntil) {
+		if u.concerns(x, g.unit, g.key) && !now.After(g.runsUntil) {
 			return false
 		}
 	}
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -79,7 +79,7 @@
 	}
 	if res.Kind.Ran() && res.Kind != Answered {
 		u.ghosts = append(u.ghosts, ghost{
-			unit: a.unit, slotUntil: now.Add(t.cfg.CancelGrace),
+			unit: a.unit, key: a.request.Key, slotUntil: now.Add(t.cfg.CancelGrace),
 			runsUntil: a.request.Deadline.Add(t.cfg.ClockSkew),
 		})
 	}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -108,6 +108,7 @@
 	Fenced           bool
 	Leaving          bool
 	Taken            time.Time              // when the assignment that names this dispatcher is in force; zero: not yet
+	Shards           int                    // of the service
 	Timeout          time.Duration          // longest deadline of the service; zero: Config.LongestDeadline
 	Units            []assignment.Ownership // owned, or with this upstream among Previous
 }
