--- a/internal/route/strip.go
+++ b/internal/route/strip.go
@@ -13,7 +13,7 @@
 	keyName   = "api-key"
 	keyHeader = "X-Api-Key"
 	// maxDecode bounds nested encodings that are searched.
-	maxDecode = 3
+	maxDecode = 2
 	// minAligned is the shortest piece of base64 that is searched for: shorter ones
 	// occur by chance.
 	minAligned = 8
@@ -32,8 +32,9 @@
 			for _, v := range values {
 				switch fold(name) {
 				case "Authorization":
-					k, _ := bearer(v)
-					add(k)
+					if k, ok := bearer(v); ok {
+						add(k)
+					}
 				case keyHeader:
 					add(strings.TrimSpace(v))
 				case "Cookie":
