Apply changed limits when they are learned

Cause: a bucket refilled at the old rate until the next call for tokens; the generated histories of package limit admitted 2 requests where 1.245 were allowed after a rate was cut.

--- a/internal/instance/limits.go
+++ b/internal/instance/limits.go
@@ -123,6 +123,15 @@
 	return peer.TokensAnswer{Lease: n.home.Take(now, bound, q.Holder, q.Call)}
 }
 
+// applyLimits makes a call to every bucket, so that a changed limit applies from
+// now on and not from the next call for tokens. The caller holds mu.
+func (n *Instance) applyLimits(now time.Time, s *snapshot) {
+	for id := range n.homes.active {
+		bound, _ := s.index.Limit(id)
+		n.home.Take(now, bound, n.self.ID, limit.Call{ID: id})
+	}
+}
+
 // becomeHome returns the state of a limit and starts what moves it on. The caller
 // holds mu.
 func (n *Instance) becomeHome(now time.Time, id fleet.LimitID) homeState {
--- a/internal/instance/records.go
+++ b/internal/instance/records.go
@@ -116,6 +116,9 @@
 		n.auth.SetMembers(runs(next.assignment.Members), runs(next.assignment.PreviousMembers))
 		n.confirmGone()
 	}
+	if next.catalogue != old.catalogue {
+		n.applyLimits(now, next)
+	}
 	n.auth.Learn(now, next.known)
 	n.revisions.learn(now, next.known)
 	n.do(n.dispatch.Assign(now, n.duties(now, next)))
