Check that pinning a key renews the fence of its shard

Without this check a planner that keeps the shard's fence passed all tests: requests for the key under the old fence could still run at the shard's owner.

--- a/internal/assignment/world_test.go
+++ b/internal/assignment/world_test.go
@@ -165,6 +165,12 @@
 				return fmt.Errorf("unit %s names upstream %s, which is not in the table", o.Unit, id)
 			}
 		}
+		if _, known := old[o.Unit]; !known && o.Unit.Pin != "" {
+			s := next.spans[o.Unit.Service]
+			if shard := next.Units[s.shardOf(o.Unit.Pin)]; shard.Fence < cur.NextFence || !slices.Contains(o.Previous, shard.Owner) {
+				return fmt.Errorf("pin %s: its shard keeps fence %s, previous %v", o.Unit, shard.Fence, o.Previous)
+			}
+		}
 		delete(old, o.Unit)
 	}
 	for _, o := range old {
