Give a restarted dispatcher a new fence

TestProtocol found two upstreams with the same unit: a dispatcher released a unit because the lease had ended, restarted under the same dispatcher fence and renewed the lease, which revived the old grant. Plan also joins the first member without a learned list and moves nothing without a catalogue.

--- a/internal/assignment/members.go
+++ b/internal/assignment/members.go
@@ -21,10 +21,12 @@
 // left out of the kept list: what that run learned is forgotten, and a majority
 // of the live members is a majority of the list without it, too.
 func (p *plan) changeMembers() {
-	if p.in.Learned {
-		members, previous := p.memberLists()
+	if p.in.Learned || len(p.next.Members) == 0 { // without members nobody has to learn
+		restarted := map[fleet.InstanceID]bool{}
+		members, previous := p.memberLists(restarted)
 		switch {
 		case !slices.Equal(members, p.next.Members):
+			p.restarted = restarted
 			p.next.Members, p.next.PreviousMembers = members, previous
 			p.changed = true
 		case len(p.next.PreviousMembers) > 0:
@@ -38,7 +40,7 @@
 	}
 }
 
-func (p *plan) memberLists() (members, previous []Member) {
+func (p *plan) memberLists(restarted map[fleet.InstanceID]bool) (members, previous []Member) {
 	var notes []Move
 	note := func(cause Cause, id fleet.InstanceID, detail string) {
 		notes = append(notes, Move{Cause: cause, Detail: "instance " + string(id) + detail})
@@ -60,6 +62,7 @@
 		if j, ok := joining[m.ID]; ok && j.Boot != m.Boot {
 			note(CauseMemberJoined, m.ID, " restarted")
 			members = append(members, j)
+			restarted[m.ID] = true
 			continue
 		}
 		previous = append(previous, m)
@@ -105,12 +108,15 @@
 const maxDispatcherSpread = 2
 
 // assignDispatchers gives every upstream a member in service as dispatcher, one
-// of the upstream's zone if there is one.
+// of the upstream's zone if there is one. A dispatcher that restarted gets a new
+// fence even if it stays: its earlier run may have counted a unit as released
+// because the lease had ended, and renewals under the same fence would revive the
+// grant for requests that the earlier run has sent.
 func (p *plan) assignDispatchers() {
 	d := p.dispatchers()
 	for i := range p.next.Upstreams {
 		u := &p.next.Upstreams[i]
-		if d.active[u.Dispatcher] {
+		if d.active[u.Dispatcher] && !p.restarted[u.Dispatcher] {
 			continue
 		}
 		to, ok := d.best(u.Zone)
--- a/internal/assignment/ownership.go
+++ b/internal/assignment/ownership.go
@@ -15,7 +15,7 @@
 	Lost         bool
 	Limit, Slots fleet.Slots   // present and warm concurrency limit
 	Load         float64       // requests per second
-	Granted      []fleet.Grant // handovers complete
+	Granted      []fleet.Grant // present fences: granted, or without an owner, released here
 	Hot          []HotKey
 }
 
--- a/internal/assignment/plan.go
+++ b/internal/assignment/plan.go
@@ -12,8 +12,8 @@
 
 // Input is everything that a plan is based on.
 type Input struct {
-	Current   *Assignment // nil: none yet
-	Catalogue *catalogue.Catalogue
+	Current   *Assignment          // nil: none yet
+	Catalogue *catalogue.Catalogue // nil: not known, nothing moves
 	Listed    []platform.Listed
 	// Learned says that the pair of revisions that the planner knows was learned
 	// by the majorities of the design's section 4. Without it the member lists
@@ -65,6 +65,9 @@
 // move. Current is left as it is. The caller writes the result with the store's
 // compare-and-swap on the revision of Current, and acts on it only afterwards.
 func Plan(now time.Time, in Input) (next *Assignment, moves []Move, changed bool) {
+	if in.Catalogue == nil {
+		return in.Current, nil, false
+	}
 	p := newPlan(now, in)
 	p.completeHandovers()
 	p.changeMembers()
@@ -94,11 +97,12 @@
 	changed bool
 	copied  bool // Units of next are a copy
 
-	listed   map[fleet.UpstreamID]platform.Listed
-	rows     []row // parallel to next.Upstreams
-	byID     map[fleet.UpstreamID]*row
-	services map[fleet.ServiceID][]*row
-	retiring map[fleet.Unit]bool // shards with a pin that has no owner
+	listed    map[fleet.UpstreamID]platform.Listed
+	rows      []row // parallel to next.Upstreams
+	byID      map[fleet.UpstreamID]*row
+	services  map[fleet.ServiceID][]*row
+	restarted map[fleet.InstanceID]bool // members replaced by a later run
+	retiring  map[fleet.Unit]bool       // shards with a pin that has no owner
 }
 
 // row is what a plan knows about an upstream beside its table entry.
