Count work at cold upstreams across dispatchers; take the warm time from the catalogue

After a takeover the requests of the previous dispatcher were not counted, and a warm upstream counted as cold.

Change: services state their warm time; a slot is added per twice its share of it. Replies to hello and renew carry the requests of earlier dispatchers that still run, and those occupy slots. Instances remember the limit and boot id that dispatchers report, and a new dispatcher goes on from there if the boot id is the same.

The warming case of TestFailureCases states its warm time now and is as strict.

--- a/internal/assignment/ownership.go
+++ b/internal/assignment/ownership.go
@@ -13,7 +13,8 @@
 // Report is what a dispatcher says about an upstream.
 type Report struct {
 	Lost         bool
-	Limit, Slots fleet.Slots // present and warm concurrency limit
+	Boot         fleet.BootID // run of the upstream that the report is about
+	Limit, Slots fleet.Slots  // present and warm concurrency limit
 	InFlight     fleet.Slots
 	Queued       int
 	Load         float64       // requests per second
--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -128,6 +128,8 @@
 	Boot  fleet.BootID
 	Stamp Stamp
 	Fence fleet.Fence // highest dispatcher fence that the upstream has seen
+	// Running counts the requests under lower dispatcher fences that still run.
+	Running int
 }
 
 // ControlResult is the end of a control call.
--- a/internal/dispatch/control.go
+++ b/internal/dispatch/control.go
@@ -36,6 +36,7 @@
 	granting  *call
 	revoking  *call
 	everKnown bool // the boot id has been seen
+	foreign   int  // requests of previous dispatchers that still run, as of the last reply
 }
 
 type stamp struct {
@@ -175,6 +176,7 @@
 		s.restart(now)
 		return
 	}
+	s.foreign = res.Reply.Running
 	s.stamp = stamp{value: res.Reply.Stamp, sent: c.sent, received: now}
 	if c.call.Kind == Hello {
 		s.phase = phaseClear
@@ -218,6 +220,9 @@
 	}
 	s.boot, s.everKnown = boot, true
 	u.warming.cool(now, u.duty.ColdSlots)
+	if last := u.duty.Last; boot != "" && last.Boot == boot {
+		u.warming.limit = max(u.warming.limit, min(last.Limit, u.warming.slots))
+	}
 	u.voidGrants()
 	t.event(u, "new-boot", string(boot))
 	return true
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -228,7 +228,7 @@
 
 // occupied counts the slots that requests may hold at the upstream.
 func (u *upstream) occupied(now time.Time) int {
-	n := len(u.open)
+	n := len(u.open) + u.session.foreign
 	for _, g := range u.ghosts {
 		if now.Before(g.slotUntil) {
 			n++
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -66,7 +66,7 @@
 		case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 			u.warming.cool(now, u.duty.ColdSlots)
 		default:
-			u.warming.done(now, now.Sub(a.sent), res.Status < http.StatusInternalServerError, t.cfg.WarmStep)
+			u.warming.done(now, now.Sub(a.sent), res.Status < http.StatusInternalServerError, u.duty.warmStep())
 		}
 	case Shed:
 		u.warming.cool(now, u.duty.ColdSlots)
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -49,7 +49,6 @@
 	ClockSkew       time.Duration // 250 ms
 	LongestDeadline time.Duration // 10 s; used if a duty names no timeout
 	LeavingGrace    time.Duration // 2.5 s
-	WarmStep        time.Duration // 500 ms
 	CancelGrace     time.Duration // 100 ms
 	SilentAfter     time.Duration // 100 ms
 	RetryShare      float64       // 0.1
@@ -70,9 +69,6 @@
 	// An upstream out of service may get no new request after 3 s; the rest is
 	// for the delay between the edit and the duty that shows it.
 	set(&c.LeavingGrace, 2500*time.Millisecond)
-	// Success counts alone raise the limit within a few service times, faster
-	// than any cache fills. Four steps at this pace take 2 s.
-	set(&c.WarmStep, 500*time.Millisecond)
 	// An upstream notices a closed connection after up to 20 ms; until then the
 	// cancelled request holds its slot there.
 	set(&c.CancelGrace, 100*time.Millisecond)
@@ -109,10 +105,18 @@
 	Leaving          bool
 	Taken            time.Time              // when the assignment that names this dispatcher is in force; zero: not yet
 	Shards           int                    // of the service
+	WarmTime         time.Duration          // work after which the upstream handles Slots
+	Last             Warmth                 // last known from the previous dispatcher
 	Timeout          time.Duration          // longest deadline of the service; zero: Config.LongestDeadline
 	Units            []assignment.Ownership // owned, or with this upstream among Previous
 }
 
+// Warmth is the concurrency limit that a run of an upstream was known to handle.
+type Warmth struct {
+	Boot  fleet.BootID
+	Limit fleet.Slots
+}
+
 // upstream is the state that the dispatcher keeps for one duty.
 type upstream struct {
 	id           fleet.UpstreamID
@@ -256,7 +260,7 @@
 		}
 		u.hot.roll(now)
 		r := assignment.Report{
-			Lost: u.session.lost, Limit: u.warming.limit, Slots: u.duty.Slots,
+			Lost: u.session.lost, Boot: u.session.boot, Limit: u.warming.limit, Slots: u.duty.Slots,
 			Load: u.hot.load, Hot: slices.Clone(u.hot.top),
 			InFlight: fleet.Slots(len(u.open)), Queued: len(u.waiting()),
 		}
--- a/internal/dispatch/table_test.go
+++ b/internal/dispatch/table_test.go
@@ -22,6 +22,7 @@
 	duty    dispatch.Duty
 	boot    fleet.BootID
 	silent  bool
+	running int                    // reported by the upstream
 	hold    bool                   // control calls end only with endCalls
 	held    []dispatch.SendControl // without an end yet
 	actions []dispatch.Action      // all but control calls and events
@@ -55,7 +56,7 @@
 			}
 			res := dispatch.ControlResult{Upstream: a.Upstream, Seq: a.Seq, OK: !r.silent}
 			if !r.silent {
-				res.Reply = dispatch.Reply{Boot: r.boot, Stamp: 1, Fence: a.Call.DispatcherFence}
+				res.Reply = dispatch.Reply{Boot: r.boot, Stamp: 1, Fence: a.Call.DispatcherFence, Running: r.running}
 			}
 			r.exec(r.table.ControlDone(r.now, res))
 		case dispatch.Event, dispatch.CloseConnections:
@@ -384,7 +385,7 @@
 			r.expect("send r1/1 fresh=false", "refuse r2 out-of-service")
 		}},
 		"warming takes work and time": {
-			change: func(d *dispatch.Duty) { d.ColdSlots = 1 },
+			change: func(d *dispatch.Duty) { d.ColdSlots, d.WarmTime = 1, 750*time.Millisecond },
 			do: func(r *rig) {
 				r.earn(10) // 100 successes within no time
 				if got := r.table.Reports(r.now)["u0"].Limit; got != 1 {
@@ -433,3 +434,31 @@
 		r.table.Done(r.now, req.ID, 1, dispatch.Result{Kind: dispatch.Answered, Status: 200, Boot: "b1"})
 	}
 }
+
+// Guards against more concurrent work at a cold upstream than it handles after a
+// takeover: the requests of the previous dispatcher still run there.
+func TestTakeoverCountsRunningRequests(t *testing.T) {
+	r := newRig(t, true, func(d *dispatch.Duty) { d.Slots, d.ColdSlots = 4, 2 })
+	r.running = 1
+	r.run(300 * time.Millisecond)
+	r.submit("a", true, time.Second)
+	r.submit("a", true, time.Second)
+	r.expect("send r1/1 fresh=false")
+	r.running = 0
+	r.run(300 * time.Millisecond)
+	r.expect("send r2/1 fresh=false")
+}
+
+// Guards against a warm upstream that is treated as cold because its dispatcher
+// changed, and against a restarted one that is treated as warm.
+func TestTakeoverKeepsWarmth(t *testing.T) {
+	for boot, want := range map[fleet.BootID]fleet.Slots{"b1": 4, "b0": 2} {
+		r := newRig(t, true, func(d *dispatch.Duty) {
+			d.Slots, d.ColdSlots, d.Last = 6, 2, dispatch.Warmth{Boot: boot, Limit: 4}
+		})
+		r.run(50 * time.Millisecond)
+		if diff := cmp.Diff(want, r.table.Reports(r.now)["u0"].Limit); diff != "" {
+			t.Errorf("last known boot %s: %s", boot, diff)
+		}
+	}
+}
--- a/internal/dispatch/warming.go
+++ b/internal/dispatch/warming.go
@@ -16,6 +16,18 @@
 	baseline     time.Duration // moving average while warm; 0: not measured
 }
 
+// warmMargin stretches the warm time, because the time in which the dispatcher has
+// an open attempt includes the network and a little more than the upstream's work.
+const warmMargin = 2
+
+// warmStep is the work after which the upstream handles one more request.
+func (d Duty) warmStep() time.Duration {
+	if d.Slots <= d.ColdSlots {
+		return 0
+	}
+	return warmMargin * d.WarmTime / time.Duration(d.Slots-d.ColdSlots)
+}
+
 func (w *warming) reset(cold fleet.Slots) { w.limit = max(1, cold) }
 
 func (w *warming) bound(slots, cold fleet.Slots) {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -123,7 +123,7 @@
 	}
 	w.revs = []revision{r}
 	for k := range w.tables {
-		w.tables[k] = dispatch.New(dispatch.Config{WarmStep: 50 * time.Millisecond})
+		w.tables[k] = dispatch.New(dispatch.Config{})
 		w.learn(k)
 	}
 	return w
--- a/internal/instance/dispatcher.go
+++ b/internal/instance/dispatcher.go
@@ -81,7 +81,7 @@
 		out = append(out, dispatch.Duty{
 			Upstream: u.ID, Service: u.Service, Address: u.Address, Fence: u.Fence,
 			Slots: service.Slots, ColdSlots: service.ColdSlots, Fenced: service.Fencing == catalogue.FencingChecked,
-			Leaving: u.State == assignment.Leaving || upstreamOut(s, u), Taken: t.taken, Shards: s.assignment.Shards(u.Service), Timeout: service.Timeout, Units: units[u.ID],
+			Leaving: u.State == assignment.Leaving || upstreamOut(s, u), Taken: t.taken, Shards: s.assignment.Shards(u.Service), WarmTime: service.WarmTime, Last: n.warmth[u.ID], Timeout: service.Timeout, Units: units[u.ID],
 		})
 	}
 	n.terms = terms
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -80,6 +80,7 @@
 	waits         map[fleet.LimitID]chan struct{} // closed when a call for tokens ends
 	dispatch      *dispatch.Table
 	terms         map[dutyKey]term
+	warmth        map[fleet.UpstreamID]dispatch.Warmth // last reported by any dispatcher
 	pending       map[fleet.RequestID]*pendingJob
 	attempts      map[attemptKey]context.CancelFunc
 	pools         map[string]*http1.Pool
@@ -114,7 +115,7 @@
 		auth: authority.New(self.Run(), cfg.AuthorityTTL), members: newMemberTable(self.ID, self.Boot), phase: peer.Serving,
 		home: home, homes: newHomeTable(cfg.Instance, home), holder: limit.NewHolder(),
 		waits: map[fleet.LimitID]chan struct{}{}, dispatch: dispatch.New(dispatch.Config{Instance: cfg.Instance}),
-		terms: map[dutyKey]term{}, pending: map[fleet.RequestID]*pendingJob{}, attempts: map[attemptKey]context.CancelFunc{}, pools: map[string]*http1.Pool{},
+		terms: map[dutyKey]term{}, warmth: map[fleet.UpstreamID]dispatch.Warmth{}, pending: map[fleet.RequestID]*pendingJob{}, attempts: map[attemptKey]context.CancelFunc{}, pools: map[string]*http1.Pool{},
 		pins: map[fleet.ServiceID][]time.Time{}, changed: make(chan struct{}),
 	}
 	n.current.Store(emptySnapshot())
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleyproxy/parsleyproxy/internal/assignment"
+	"github.com/parsleyproxy/parsleyproxy/internal/dispatch"
 	"github.com/parsleyproxy/parsleyproxy/internal/peer"
 	"github.com/parsleyproxy/parsleyproxy/internal/platform"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
@@ -323,6 +324,9 @@
 		n.confirmGone()
 		return
 	}
+	for id, r := range a.Reports {
+		n.warmth[id] = dispatch.Warmth{Boot: r.Boot, Limit: r.Limit}
+	}
 	n.auth.PeerAnswered(sent, now, runOf(a.From, a.Boot), a.Known)
 }
 
--- a/internal/instance/records.go
+++ b/internal/instance/records.go
@@ -110,15 +110,15 @@
 	defer n.mu.Unlock()
 	n.current.Store(next)
 	n.holds(now)
+	if next.catalogue != old.catalogue {
+		n.applyLimits(now, next)
+	}
 	if next.assignment != old.assignment {
 		n.members.update(now, next.assignment.Members)
 		n.homes.learn(now, next)
 		n.auth.SetMembers(runs(next.assignment.Members), runs(next.assignment.PreviousMembers))
 		n.confirmGone()
 	}
-	if next.catalogue != old.catalogue {
-		n.applyLimits(now, next)
-	}
 	n.auth.Learn(now, next.known)
 	n.revisions.learn(now, next.known)
 	n.do(n.dispatch.Assign(now, n.duties(now, next)))
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -226,6 +226,7 @@
 
 func encodeReport(e *jx.Encoder, r assignment.Report) {
 	boolean(e, "lost", r.Lost)
+	str(e, "boot", r.Boot)
 	signed(e, "limit", r.Limit)
 	signed(e, "slots", r.Slots)
 	signed(e, "in-flight", r.InFlight)
@@ -247,6 +248,8 @@
 	switch field {
 	case "lost":
 		return getBool(d, &r.Lost)
+	case "boot":
+		return getStr(d, &r.Boot)
 	case "limit":
 		return getSigned(d, &r.Limit)
 	case "slots":
--- a/internal/standin/lab/shape.go
+++ b/internal/standin/lab/shape.go
@@ -178,7 +178,7 @@
 	for _, v := range s.Services {
 		c.Services = append(c.Services, catalogue.Service{
 			ID: v.ID, Shards: shards, Slots: fleet.Slots(v.Slots), ColdSlots: fleet.Slots(v.Cold),
-			Fencing: fencing, Timeout: serviceTimeout,
+			WarmTime: v.WarmTime, Fencing: fencing, Timeout: serviceTimeout,
 		})
 		c.Entries = append(c.Entries, catalogue.Entry{
 			ID: fleet.EntryID(v.ID), Owner: "test fleet", Service: v.ID, PathPrefix: v.Prefix(), Class: v.Class,
--- a/internal/standin/upstream/control.go
+++ b/internal/standin/upstream/control.go
@@ -139,7 +139,7 @@
 	s.mu.Lock()
 	now := s.stamp()
 	accepted := s.control.Apply(now, call)
-	reply := dispatch.Reply{Boot: s.boot, Stamp: now, Fence: s.control.dispatcher}
+	reply := dispatch.Reply{Boot: s.boot, Stamp: now, Fence: s.control.dispatcher, Running: s.running - s.runningBy[s.control.dispatcher]}
 	f := s.faults.at(time.Now())
 	s.mu.Unlock()
 	f.delayAnswer(r.Context())
--- a/internal/standin/upstream/execute.go
+++ b/internal/standin/upstream/execute.go
@@ -152,6 +152,7 @@
 	}
 	s.warmth.advance(now, s.running)
 	s.running++
+	s.runningBy[in.dispatcher]++
 	s.warmth.advance(now, s.running)
 	if s.warmth.check(now, s.running) {
 		s.record(record{event: "overload", in: in})
@@ -214,6 +215,9 @@
 	s.warmth.advance(now, s.running-1)
 	s.record(record{event: "end", detail: a.detail, in: in})
 	s.running--
+	if s.runningBy[in.dispatcher]--; s.runningBy[in.dispatcher] == 0 {
+		delete(s.runningBy, in.dispatcher)
+	}
 	return a
 }
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -35,16 +35,18 @@
 	began  time.Time // origin of the stamps
 	server *http1.Server
 
-	mu       sync.Mutex
-	control  Control
-	warmth   warmth
-	faults   faults
-	history  history
-	load     loadLog
-	running  int
-	draining bool
-	conns    map[string]bool // remote addresses that have paid for their connection
-	rng      *rand.Rand
+	mu      sync.Mutex
+	control Control
+	warmth  warmth
+	faults  faults
+	history history
+	load    loadLog
+	running int
+	// runningBy counts the running requests by the dispatcher fence they came with.
+	runningBy map[fleet.Fence]int
+	draining  bool
+	conns     map[string]bool // remote addresses that have paid for their connection
+	rng       *rand.Rand
 }
 
 // Config describes an upstream.
@@ -80,9 +82,10 @@
 	now := time.Now()
 	s := &Server{
 		cfg: cfg, began: now, boot: fleet.BootID(cfg.Name + "-" + strconv.FormatInt(now.UnixNano(), 36)),
-		control: NewControl(cfg.Unfenced),
-		warmth:  warmth{slots: cfg.Slots, cold: cfg.ColdSlots, warmTime: cfg.WarmTime},
-		history: history{w: cfg.History}, conns: make(map[string]bool),
+		control:   NewControl(cfg.Unfenced),
+		warmth:    warmth{slots: cfg.Slots, cold: cfg.ColdSlots, warmTime: cfg.WarmTime},
+		runningBy: make(map[fleet.Fence]int),
+		history:   history{w: cfg.History}, conns: make(map[string]bool),
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	mux := http.NewServeMux()
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -112,13 +112,13 @@
 	}
 	defer c.Close()
 	d := &driver{
-		table: dispatch.New(dispatch.Config{WarmStep: 150 * time.Millisecond}), client: upstream.New(c),
+		table: dispatch.New(dispatch.Config{}), client: upstream.New(c),
 		ends: make(map[fleet.RequestID]chan bool),
 	}
 	d.do(func(now time.Time) []dispatch.Action { return d.table.Tick(now, now.Add(time.Second)) })
 	d.do(func(now time.Time) []dispatch.Action {
 		return d.table.Assign(now, []dispatch.Duty{{
-			Upstream: "u1", Service: "s", Address: server.Addr(), Fence: 7, Slots: 6, ColdSlots: 2, Fenced: true, Taken: now,
+			Upstream: "u1", Service: "s", Address: server.Addr(), Fence: 7, Slots: 6, ColdSlots: 2, WarmTime: 400 * time.Millisecond, Fenced: true, Taken: now,
 			Units: []assignment.Ownership{{Unit: fleet.Unit{Service: "s"}, Owner: "u1", Fence: 11}},
 		}})
 	})
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -117,6 +117,7 @@
 		e.Field("boot", func(e *jx.Encoder) { e.Str(string(r.Boot)) })
 		e.Field("stamp", func(e *jx.Encoder) { e.Int64(int64(r.Stamp)) })
 		e.Field("fence", func(e *jx.Encoder) { e.UInt64(uint64(r.Fence)) })
+		e.Field("running", func(e *jx.Encoder) { e.Int(r.Running) })
 	})
 	return e.Bytes()
 }
@@ -136,6 +137,10 @@
 			return err
 		case "fence":
 			return decodeFence(d, &r.Fence)
+		case "running":
+			n, err := d.Int()
+			r.Running = max(0, n)
+			return err
 		default:
 			return d.Skip()
 		}
--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -27,9 +27,10 @@
 // Service is a group of upstreams that divide routing keys among them.
 type Service struct {
 	ID        fleet.ServiceID
-	Shards    int         // fixed for the life of the service; see CheckEdit
-	Slots     fleet.Slots // concurrent requests that a warm upstream handles
-	ColdSlots fleet.Slots // concurrent requests that an upstream handles in cold start
+	Shards    int           // fixed for the life of the service; see CheckEdit
+	Slots     fleet.Slots   // concurrent requests that a warm upstream handles
+	ColdSlots fleet.Slots   // concurrent requests that an upstream handles in cold start
+	WarmTime  time.Duration // work in cold start after which an upstream handles Slots
 	Fencing   Fencing
 	Timeout   time.Duration // longest deadline of a request
 }
@@ -117,6 +118,7 @@
 const (
 	DefaultShards    = 256
 	DefaultColdSlots = 1
+	DefaultWarmTime  = 5 * time.Second
 	DefaultTimeout   = 10 * time.Second
 )
 
--- a/pkg/catalogue/check.go
+++ b/pkg/catalogue/check.go
@@ -143,6 +143,9 @@
 		if s.Slots >= 1 && (s.ColdSlots < 1 || s.ColdSlots > s.Slots) {
 			k.fail("cold-slots", "%d: want 1 to the number of slots, %d", s.ColdSlots, s.Slots)
 		}
+		if s.WarmTime < 0 || s.WarmTime > maxTimeout {
+			k.fail("warm-time", "%s: want 0s to %s", s.WarmTime, maxTimeout)
+		}
 		oneOf(k, "fencing", s.Fencing, FencingChecked, FencingNone)
 		if s.Timeout < time.Millisecond || s.Timeout > maxTimeout {
 			k.fail("timeout", "%s: want 1ms to %s", s.Timeout, maxTimeout)
--- a/pkg/catalogue/format.go
+++ b/pkg/catalogue/format.go
@@ -84,6 +84,7 @@
 		{"shards", integer(int64(s.Shards))},
 		{"slots", integer(int64(s.Slots))},
 		{"cold-slots", integer(int64(s.ColdSlots))},
+		{"warm-time", str(s.WarmTime.String())},
 		{"fencing", str(string(s.Fencing))},
 		{"timeout", str(s.Timeout.String())},
 	}}
--- a/pkg/catalogue/parse.go
+++ b/pkg/catalogue/parse.go
@@ -196,12 +196,13 @@
 }
 
 func (d *decoder) service(p place, n *yaml.Node) Service {
-	s := Service{Shards: DefaultShards, ColdSlots: DefaultColdSlots, Fencing: FencingChecked, Timeout: DefaultTimeout}
+	s := Service{Shards: DefaultShards, ColdSlots: DefaultColdSlots, WarmTime: DefaultWarmTime, Fencing: FencingChecked, Timeout: DefaultTimeout}
 	d.object(p, n, map[string]func(place, *yaml.Node){
 		"id":         text(d, &s.ID),
 		"shards":     number(d, &s.Shards),
 		"slots":      number(d, &s.Slots),
 		"cold-slots": number(d, &s.ColdSlots),
+		"warm-time":  d.duration(&s.WarmTime),
 		"fencing":    text(d, &s.Fencing),
 		"timeout":    d.duration(&s.Timeout),
 	})
