Wait for the next home of a limit instead of refusing

Cause: after the loss of a home its accounts were refused limit-unavailable after 300 ms, for about 1.7 s, inside their rate. Change: requests wait up to 2.5 s, bounded by their deadlines; token leases last 300 ms instead of 500 ms, which a new home has to wait out for small bursts.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -90,8 +90,10 @@
 	observed      time.Time
 }
 
-// tokenTTL is how long an instance may use tokens that it drew from a home.
-const tokenTTL = 500 * time.Millisecond
+// tokenTTL is how long an instance may use tokens that it drew from a home. Holders
+// return unused tokens after 150 ms. After the loss of a home the next one grants
+// nothing of a small burst for this long.
+const tokenTTL = 300 * time.Millisecond
 
 // New returns an instance that is not running yet.
 func New(cfg settings.Serve, log hclog.Logger) (*Instance, error) {
--- a/internal/limit/holder.go
+++ b/internal/limit/holder.go
@@ -24,9 +24,10 @@
 	maxRefusal = 100 * time.Millisecond
 	// againAfter separates calls that the home did not answer with a refusal.
 	againAfter = 5 * time.Millisecond
-	// patience is how long requests wait for a home that does not answer. A planned
-	// move of the home takes less, the loss of a home takes longer.
-	patience = 300 * time.Millisecond
+	// patience is how long requests wait for a home that does not answer. Another
+	// home takes over about 2 s after a loss, and a request that is served late is
+	// worth more than one that is refused inside its rate.
+	patience = 2500 * time.Millisecond
 	// probeAfter separates calls to such a home after that.
 	probeAfter = 50 * time.Millisecond
 	// unavailableRetry is the advice when the home does not answer.
