Send idempotent requests again after a lost dispatcher more than once

Cause: after SIGKILL of a dispatcher, a lookup was answered connection-lost: its one repetition went over another connection to the same dead process. Change: idle connections to a dispatcher are closed when one is lost, and idempotent requests are repeated up to three times with a pause.

--- a/internal/instance/forward.go
+++ b/internal/instance/forward.go
@@ -43,6 +43,8 @@
 		Method: j.method, Target: j.target, Host: j.host, Header: header, Body: j.body,
 	})
 	if err != nil {
+		// The other idle connections are likely to be as dead as this one.
+		n.forwardPool(m.HTTP).CloseIdle()
 		return nil, asRefusal(err, m.ID)
 	}
 	if got := res.Header.Get(fleet.HeaderRequestID); got != string(j.id) {
--- a/internal/instance/serve.go
+++ b/internal/instance/serve.go
@@ -21,6 +21,10 @@
 	// routeRetry is the pause before a request that found no owner is routed
 	// again; a newly learned assignment ends it early.
 	routeRetry = 20 * time.Millisecond
+	// maxRepeats bounds how often an idempotent request is sent again after the
+	// connection to its dispatcher was lost, so that a failing dispatcher gets at
+	// most a few times the load.
+	maxRepeats = 3
 	// outGrace is the time after which an instance that is out of service
 	// refuses requests that the balancer still sends.
 	outGrace = 3 * time.Second
@@ -117,17 +121,18 @@
 // while the job has provably not run and its deadline allows, since another
 // owner or dispatcher may be assigned in the meantime.
 func (n *Instance) route(ctx context.Context, j *job) (*http1.Response, *fleet.Refusal) {
-	repeated := false
+	repeats := 0
 	for attempt := 0; ; attempt++ {
 		res, refusal := n.routeOnce(ctx, j, attempt)
 		if refusal == nil {
 			return res, nil
 		}
-		if refusal.Reason == fleet.ReasonConnectionLost && j.class == catalogue.Idempotent && !repeated {
-			repeated = true
-			continue
+		again := worthAnotherRoute(refusal)
+		if refusal.Reason == fleet.ReasonConnectionLost && j.class == catalogue.Idempotent && repeats < maxRepeats {
+			repeats++
+			again = true
 		}
-		if !worthAnotherRoute(refusal) || time.Now().Add(routeRetry).After(j.deadline) || ctx.Err() != nil {
+		if !again || time.Now().Add(routeRetry).After(j.deadline) || ctx.Err() != nil {
 			return nil, refusal
 		}
 		n.awaitChange(ctx, routeRetry)
