--- a/spec/protocol_test.go
+++ b/spec/protocol_test.go
@@ -446,7 +446,7 @@
 // that run a unit, an acknowledged assignment that is lost, a withdrawn key that
 // is honoured once the change is in force, and knowledge that goes back.
 func TestProtocol(t *testing.T) {
-	// With any one rule of the fakes removed, 700 runs found a violation.
+	// A dispatcher that keeps its fence over a restart was found after 742 runs.
 	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": "1000"} {
 		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
