--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,92 @@
+// Command capacity measures what the router costs at several sizes and writes the
+// tables of docs/CAPACITY.md.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/capacity"
+)
+
+func newRoot() *cli.Command {
+	results := &cli.StringFlag{Name: "results", Usage: "`FILE` of the measurements", Value: "docs/capacity.json", Sources: cli.EnvVars("CAPACITY_RESULTS")}
+	page := &cli.StringFlag{Name: "page", Usage: "`FILE` whose tables are replaced", Value: "docs/CAPACITY.md", Sources: cli.EnvVars("CAPACITY_PAGE")}
+	beside := &cli.StringFlag{Name: "beside", Usage: "`TEXT` that says what else ran on the machine", Value: "not stated", Sources: cli.EnvVars("CAPACITY_BESIDE")}
+	return &cli.Command{
+		Name: "capacity", Usage: "cost of the router at the design scale",
+		Commands: []*cli.Command{
+			{
+				Name: "measure", Usage: "measure, and write the results and the page", Flags: []cli.Flag{results, page, beside},
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					if err := measure(cmd.String("results"), cmd.String("beside")); err != nil {
+						return err
+					}
+					return render(cmd.String("results"), cmd.String("page"))
+				},
+			},
+			{
+				Name: "page", Usage: "write the page from earlier results", Flags: []cli.Flag{results, page},
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					return render(cmd.String("results"), cmd.String("page"))
+				},
+			},
+		},
+	}
+}
+
+func measure(file, beside string) error {
+	r := capacity.Run{
+		Date: time.Now().UTC().Format(time.DateOnly), Cores: runtime.NumCPU(), Used: runtime.GOMAXPROCS(0), Go: runtime.Version(),
+		Load: "load averages " + loadAverages() + "; beside: " + beside,
+	}
+	var err error
+	if r.Series, err = capacity.Measure(func(name string) { fmt.Fprintln(os.Stderr, "measuring", name) }); err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(file, r.Encode(), 0o644), "write the results")
+}
+
+// loadAverages returns "unknown" where the system does not tell.
+func loadAverages() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	fields := strings.Fields(string(data))
+	if err != nil || len(fields) < 3 {
+		return "unknown"
+	}
+	return strings.Join(fields[:3], ", ")
+}
+
+func render(results, page string) error {
+	data, err := os.ReadFile(results)
+	if err != nil {
+		return errors.Wrap(err, "read the results")
+	}
+	run, err := capacity.Decode(data)
+	if err != nil {
+		return errors.Wrap(err, results)
+	}
+	text, err := os.ReadFile(page)
+	if err != nil {
+		return errors.Wrap(err, "read the page")
+	}
+	text, err = capacity.Render(text, run)
+	if err != nil {
+		return errors.Wrap(err, page)
+	}
+	return errors.Wrap(os.WriteFile(page, text, 0o644), "write the page")
+}
+
+func main() {
+	if err := newRoot().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
