--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -51,7 +51,7 @@
 	if r.Series, err = capacity.Measure(func(name string) { fmt.Fprintln(os.Stderr, "measuring", name) }); err != nil {
 		return err
 	}
-	return errors.Wrap(os.WriteFile(file, r.Encode(), 0o644), "write the results")
+	return os.WriteFile(file, r.Encode(), 0o644)
 }
 
 // loadAverages returns "unknown" where the system does not tell.
@@ -81,7 +81,7 @@
 	if err != nil {
 		return errors.Wrap(err, page)
 	}
-	return errors.Wrap(os.WriteFile(page, text, 0o644), "write the page")
+	return os.WriteFile(page, text, 0o644)
 }
 
 func main() {
--- /dev/null
+++ b/internal/capacity/model.go
@@ -0,0 +1,265 @@
+package capacity
+
+import (
+	"slices"
+
+	"github.com/go-faster/errors"
+)
+
+// Line is one figure of one role at the design scale.
+type Line struct {
+	Role    string
+	Kind    string // state, messages, processor or memory
+	Figure  string
+	Value   float64
+	Bound   float64
+	Unit    string
+	By      string  // the mechanism that carries it
+	Instead string  // what would carry it
+	Source  string  // id of the series
+	At      float64 // size at which the series is evaluated
+}
+
+// Carried reports whether today's design stays within the bound.
+func (l Line) Carried() bool { return l.Value <= l.Bound }
+
+// model evaluates fits at sizes that were not measured.
+type model struct{ series map[string]Series }
+
+// ids are the series that a model needs.
+var ids = []string{
+	"assignment-bytes", "assignment-heap", "assignment-encode", "assignment-decode", "plan-unchanged", "plan-lost", "owner",
+	"members-bytes", "home-choice", "catalogue-parse", "catalogue-bytes", "index-heap", "index-build", "route",
+	"home-heap", "home-take", "token-calls-accounts", "token-calls-rate", "holder-tick", "admit", "dispatch-heap", "control-calls",
+	"dispatch-tick", "dispatch-request", "metrics-heap", "metrics-series", "metrics-scrape", "poll-heap", "poll-cpu",
+	"poll-bytes", "token-cpu", "token-bytes", "renew-cpu", "renew-bytes", "store-reads", "store-lists",
+}
+
+func newModel(series []Series) (model, error) {
+	m := model{series: map[string]Series{}}
+	for _, s := range series {
+		m.series[s.ID] = s
+	}
+	for _, id := range ids {
+		if len(m.series[id].Points) < 3 {
+			return m, errors.Errorf("series %s has %d points, want 3 or more", id, len(m.series[id].Points))
+		}
+	}
+	return m, nil
+}
+
+func (m model) at(id string, x float64) float64 { return m.series[id].Fit.At(x) }
+
+func (m model) slope(id string) float64 { return m.series[id].Fit.Slope }
+
+// factor is how far x lies beyond the largest measured size; at most 1 means
+// within the measured range.
+func (m model) factor(id string, x float64) float64 { return x / m.series[id].Largest() }
+
+// pollBytes is the traffic of a member that polls n−1 others and is polled by
+// them every 150 ms.
+func (m model) pollBytes(n float64) float64 {
+	return 2 * (n - 1) / pollEvery.Seconds() * (m.at("poll-bytes", n) + segmentBytes)
+}
+
+// pollCPU counts an asking and an answering end per other member.
+func (m model) pollCPU(n float64) float64 {
+	return (n - 1) / pollEvery.Seconds() * m.at("poll-cpu", n)
+}
+
+// recordBytes is the size of an assignment with n members.
+func (m model) recordBytes(n, units float64) float64 {
+	return m.at("assignment-bytes", units) + m.slope("members-bytes")*n
+}
+
+func (m model) lines() []Line {
+	return slices.Concat(m.receiver(), m.dispatcher(), m.home(), m.planner(), m.store(), m.upstream())
+}
+
+func (m model) receiver() []Line {
+	const role = "receiving instance"
+	decisions := m.at("route", 0) + m.at("admit", 0) + m.at("owner", 0)
+	return []Line{
+		{
+			role, "memory", "decoded assignment of 379,870 units", m.at("assignment-heap", units), memoryBound, "B",
+			"units are shards: the table does not grow with the keys", "cells: each instance keeps its cell's units", "assignment-heap", units,
+		},
+		{
+			role, "memory", "catalogue index, if the keys in use are caller keys", m.at("index-heap", keys), memoryBound, "B",
+			"", "caller keys in hashed buckets, kept by the nodes and loaded on demand (see the two readings)", "index-heap", keys,
+		},
+		{
+			role, "memory", "connections to all members, both ends", m.at("poll-heap", nodes), memoryBound, "B",
+			"one connection per direction and peer", "cells: connections within the cell, and to one instance of each other cell in use", "poll-heap", nodes,
+		},
+		{
+			role, "messages", "traffic of all-to-all polls", m.pollBytes(nodes), bytesBound, "B/s",
+			"", "cells; polls of five voters with a compact answer, full answers only on change", "poll-bytes", nodes,
+		},
+		{
+			role, "processor", "all-to-all polls", m.pollCPU(nodes), cpuBound, "core",
+			"", "cells", "poll-cpu", nodes,
+		},
+		{
+			role, "messages", "assignment records after 1,520 restarts and failures a day, 4 writes each",
+			assignmentRate * m.recordBytes(nodes, units) * base64, bytesBound, "B/s",
+			"", "cells: a change is sent to the members of its cell only", "assignment-bytes", units,
+		},
+		{
+			role, "processor", "decoding of these records", assignmentRate * m.at("assignment-decode", units), cpuBound, "core",
+			"one decoding per write; planner writes are batched", "cells", "assignment-decode", units,
+		},
+		{
+			role, "messages", "catalogue of the largest allowed size (700 kB) after 16,000 changes a day", changeRate * 700e3 * base64, bytesBound, "B/s",
+			"", "the catalogue in parts per service, and changes sent as differences", "catalogue-bytes", 4000,
+		},
+		{
+			role, "processor", "parsing of it (4,000 caller keys)", changeRate * m.at("catalogue-parse", 4000), cpuBound, "core",
+			"one parse per change", "the catalogue in parts per service", "catalogue-parse", 4000,
+		},
+		{
+			role, "processor", "decisions for 2,182 requests/s: route, authenticate, limit, owner", requestsNode * decisions, cpuBound, "core",
+			"maps: the cost does not grow with keys or units", "fewer allocations in route.Decide; it is most of this line", "route", 1000,
+		},
+		{
+			role, "memory", "metrics with 200 account labels", m.at("metrics-heap", 200), memoryBound, "B",
+			"a fixed number of account labels", "fewer labels", "metrics-heap", 200,
+		},
+		{
+			role, "messages", "scrape of them every 15 s, not compressed", m.at("metrics-scrape", 200) / scrapeEvery, bytesBound, "B/s",
+			"a fixed number of account labels", "20 account labels, the busiest ones", "metrics-scrape", 200,
+		},
+	}
+}
+
+func (m model) dispatcher() []Line {
+	const role = "dispatcher"
+	calls := m.at("control-calls", upstreamsPerNode)
+	return []Line{
+		{
+			role, "memory", "3 upstreams with 23 units each", m.at("dispatch-heap", upstreamsPerNode), memoryBound, "B",
+			"a dispatcher keeps its own upstreams only", "more nodes", "dispatch-heap", upstreamsPerNode,
+		},
+		{
+			role, "messages", "renewals to 3 upstreams", calls * (m.slope("renew-bytes") + segmentBytes), bytesBound, "B/s",
+			"one renewal per upstream and 200 ms, whatever the number of units", "renewals in a compact form, or every 300 ms", "renew-bytes", 1000,
+		},
+		{
+			role, "processor", "renewals, counted with the upstream's end", calls * m.slope("renew-cpu"), cpuBound, "core",
+			"one renewal per upstream and 200 ms", "a plain TCP exchange in place of HTTP", "renew-cpu", 1000,
+		},
+		{
+			role, "processor", "100 ticks/s", 100 * m.at("dispatch-tick", upstreamsPerNode), cpuBound, "core",
+			"a tick visits the dispatcher's own upstreams only", "a tick per due time", "dispatch-tick", upstreamsPerNode,
+		},
+		{
+			role, "processor", "decisions for 2,182 requests/s", requestsNode * m.at("dispatch-request", upstreamsPerNode), cpuBound, "core",
+			"queues and slots per upstream", "more nodes", "dispatch-request", upstreamsPerNode,
+		},
+	}
+}
+
+func (m model) home() []Line {
+	const role = "home of limits"
+	perNode := float64(accounts) / nodes
+	// 120 requests/s of an account over 5,500 instances: a lease ends before its
+	// holder sees a second request, so that each request needs a call.
+	return []Line{
+		{
+			role, "memory", "buckets of 18 of 100,000 accounts", m.slope("home-heap") * perNode, memoryBound, "B",
+			"rendezvous hashing spreads the accounts", "more nodes", "home-heap", perNode,
+		},
+		{
+			role, "messages", "token calls: one per request, since an instance gets 0.02 requests/s of an account",
+			requestsNode * 2 * (m.slope("token-bytes") + segmentBytes), bytesBound, "B/s",
+			"", "per-region limits, and one batched call per cell, home and 150 ms", "token-bytes", 1000,
+		},
+		{
+			role, "processor", "token calls, both ends", requestsNode * m.slope("token-cpu"), cpuBound, "core",
+			"", "the same", "token-cpu", 1000,
+		},
+		{
+			role, "processor", "choice of the home for every limit, 10 times/s on every instance", 10 * accounts * m.at("home-choice", nodes), cpuBound, "core",
+			"", "choose again only when the members change, among the members of a cell", "home-choice", nodes,
+		},
+		{
+			role, "processor", "100 ticks/s of a holder with 2,182 limits in use", 100 * m.at("holder-tick", requestsNode), cpuBound, "core",
+			"a tick visits the limits in use only", "a queue of due times; or requests of an account sent to few instances", "holder-tick", requestsNode,
+		},
+	}
+}
+
+func (m model) planner() []Line {
+	const role = "planner"
+	plan := m.at("plan-lost", units) + m.at("assignment-encode", units) + m.at("assignment-decode", units)
+	return []Line{
+		{
+			role, "state", "assignment record", m.recordBytes(nodes, units), valueBound, "B",
+			"", "cells: a record per cell", "assignment-bytes", units,
+		},
+		{
+			role, "processor", "plan after a loss, encode and decode, within the 2 s", plan, planBound, "ns",
+			"one pass over the units", "cells", "plan-lost", units,
+		},
+		{
+			role, "processor", "20 plans/s that change nothing", 20 * m.at("plan-unchanged", units), cpuBound, "core",
+			"one pass over the units", "a plan only after a report, a list or a member changed; cells", "plan-unchanged", units,
+		},
+		{
+			role, "memory", "input and result of a plan, with the record", 2*m.at("assignment-heap", units) + m.recordBytes(nodes, units), memoryBound, "B",
+			"the units are copied only if one moves", "cells", "assignment-heap", units,
+		},
+		{
+			role, "messages", "time to pin 370 hot keys that are spread over 4 or more services", hotKeys / 4.0 / 4 * 10, hotWithin, "s",
+			"4 pins per 10 s and service; reports of the 8 hottest keys", "", "", 0,
+		},
+		{
+			role, "messages", "time to pin 370 hot keys of one service", hotKeys / 4.0 * 10, hotWithin, "s",
+			"", "a pace of pins per cell instead of per service", "", 0,
+		},
+	}
+}
+
+func (m model) store() []Line {
+	const role = "store"
+	return []Line{
+		{
+			role, "messages", "reads of changes by 5,500 instances", m.at("store-reads", nodes), readsBound, "1/s",
+			"", "one reader per cell that feeds the others through polls", "store-reads", nodes,
+		},
+		{
+			role, "messages", "reads of the instance list (no bound is stated; that of reads is taken)", m.at("store-lists", nodes), readsBound, "1/s",
+			"", "the reader of the cell", "store-lists", nodes,
+		},
+		{
+			role, "messages", "writes on average: 16,000 changes, 1,520 restarts and failures a day", changeRate + assignmentRate, writesBound, "1/s",
+			"two records, one write per edit or plan", "", "", 0,
+		},
+		{
+			role, "messages", "writes in the second after the loss of a zone (458 instances)", 3, writesBound, "1/s",
+			"one plan for all losses; members, dispatchers and finished handovers", "", "", 0,
+		},
+		{
+			role, "state", "catalogue record, if the keys in use are caller keys", m.at("catalogue-bytes", keys), valueBound, "B",
+			"", "hashed buckets of caller keys, one value each", "catalogue-bytes", keys,
+		},
+	}
+}
+
+func (m model) upstream() []Line {
+	const role = "upstream's view"
+	return []Line{
+		{
+			role, "messages", "control calls", m.at("control-calls", upstreamsPerNode) / upstreamsPerNode, 10, "1/s",
+			"a single dispatcher, whatever the number of instances (bound: two per renewal interval)", "", "control-calls", upstreamsPerNode,
+		},
+		{
+			role, "messages", "traffic of them", 5 * (m.slope("renew-bytes") + segmentBytes), bytesBound, "B/s",
+			"the same", "", "renew-bytes", 1000,
+		},
+		{
+			role, "state", "connections: 100 for requests, 4 for control, renewals apart", 106, 120, "",
+			"a single dispatcher with bounded pools", "", "", 0,
+		},
+	}
+}
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -220,6 +220,7 @@
 			h.Admit(epoch, []limit.Bounded{{ID: fleet.AccountLimit(account(i)), Limit: l}})
 		}
 		r.add("holder-tick", "tick of a holder", "limits", "ns", float64(n), perCall(func() { h.Tick(epoch) }))
+		r.add("admit", "admission of a request", "limits", "ns", float64(n), admission(n))
 	}
 	return nil
 }
@@ -340,3 +341,21 @@
 	}
 	return nil
 }
+
+// admission is the cost of a request that finds tokens of its account and entry
+// at a holder of n limits.
+func admission(n int) float64 {
+	h, l := limit.NewHolder(), fleet.Limit{Rate: 1e9, Burst: 1e9}
+	bounds := make([][]limit.Bounded, n)
+	for i := range bounds {
+		bounds[i] = []limit.Bounded{{ID: fleet.AccountLimit(account(i)), Limit: l}, {ID: "entry:halls", Limit: l}}
+		for _, b := range bounds[i] {
+			h.Add(epoch, b.ID, limit.Lease{ID: 1, Granted: 1e12, TTL: tokenTTL})
+		}
+	}
+	i := 0
+	return perCall(func() {
+		h.Admit(epoch, bounds[i%n])
+		i++
+	})
+}
