--- a/internal/standin/report/figures.go
+++ b/internal/standin/report/figures.go
@@ -312,7 +312,7 @@
 			q    float64
 		}{{"p50", 0.5}, {"p99", 0.99}} {
 			out = append(out, Figure{
-				Name: "latency outside the upstream " + string(class) + " steady " + p.name, Value: quantile(v, p.q), Unit: "ms", Worse: Higher,
+				Name: outsidePrefix + string(class) + " steady " + p.name, Value: quantile(v, p.q), Unit: "ms", Worse: Higher,
 			})
 		}
 	}
