standin: relay links per instance, search for caller keys, restart of upstreams

Scenarios need to cut one instance from another while all instances reach each member at one advertised address. The relay names its clients, and the lab finds the process at the other end of a connection. Upstreams record caller keys outside request bodies, which the report counts.

--- a/cmd/standin/upstream.go
+++ b/cmd/standin/upstream.go
@@ -23,6 +23,8 @@
 			&cli.StringFlag{Name: "service", Required: true},
 			&cli.StringFlag{Name: "zone"},
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`IP:PORT`"},
+			&cli.StringFlag{Name: "advertise", Usage: "`IP:PORT` in the instance list (default: the one listened on)"},
+			&cli.StringSliceFlag{Name: "secret", Usage: "`TEXT` whose arrival outside a body is recorded as a caller key"},
 			&cli.StringFlag{Name: "list", Usage: "`IP:PORT` of the instance list"},
 			&cli.IntFlag{Name: "slots", Value: 6},
 			&cli.IntFlag{Name: "cold-slots", Value: 2},
@@ -51,7 +53,7 @@
 		StraggleProbability: c.Float("straggle-probability"), StraggleTime: c.Duration("straggle-time"),
 		ConnectTime: c.Duration("connect-time"), MaxConns: c.Int("max-conns"),
 		ReportLag: c.Duration("report-lag"), ReportWrong: c.Bool("report-wrong"),
-		DrainTime: c.Duration("drain-time"), Seed: c.Uint64("seed"),
+		Advertise: c.String("advertise"), Secrets: c.StringSlice("secret"), DrainTime: c.Duration("drain-time"), Seed: c.Uint64("seed"),
 	}
 	switch v := c.String("fencing"); v {
 	case "checked":
--- a/internal/standin/lab/fleet.go
+++ b/internal/standin/lab/fleet.go
@@ -45,6 +45,8 @@
 	Binaries Binaries
 	Rate     float64 // total requests/s, from which the limits follow
 	Seed     uint64
+	Relayed  bool              // links between processes go through a relay; only for a Router
+	Fencing  catalogue.Fencing // of the upstreams; empty: checked for a Router, else none
 }
 
 // Fleet is a running fleet.
@@ -56,14 +58,17 @@
 	StoreAddr string
 
 	client  *http1.Client
+	network *network // nil unless Relayed
 	starter chan func()
 	stopped chan struct{}
 
 	mu        sync.Mutex
 	processes map[string]*Process
-	order     []*Process // as started
-	events    []report.Event
-	closed    bool
+	// upstreamSpecs says how to start an upstream again.
+	upstreamSpecs map[fleet.UpstreamID]spec
+	order         []*Process // as started
+	events        []report.Event
+	closed        bool
 }
 
 // Instance is a router process.
@@ -113,7 +118,13 @@
 	}
 	f := &Fleet{
 		Options: o, client: client, starter: make(chan func()), stopped: make(chan struct{}),
-		processes: make(map[string]*Process),
+		processes: make(map[string]*Process), upstreamSpecs: make(map[fleet.UpstreamID]spec),
+	}
+	if o.Relayed {
+		if f.network, err = newNetwork(f); err != nil {
+			client.Close()
+			return nil, err
+		}
 	}
 	go f.startOnOneThread()
 	started := false
@@ -209,7 +220,20 @@
 		for n := 1; n <= s.Upstreams; n++ {
 			u := Upstream{ID: UpstreamID(s.ID, n), Service: s.ID, Zone: f.Shape.Zone(i)}
 			i++
-			p, err := f.run(f.upstreamSpec(s, u, i))
+			advertise := ""
+			if f.network != nil {
+				addrs, err := freeAddrs(1)
+				if err != nil {
+					return err
+				}
+				u.Addr = addrs[0]
+				if advertise, err = f.network.add(string(u.ID), u.Addr); err != nil {
+					return err
+				}
+			}
+			how := f.upstreamSpec(s, u, i, advertise)
+			f.upstreamSpecs[u.ID] = how
+			p, err := f.run(how)
 			if err != nil {
 				return err
 			}
@@ -226,11 +250,7 @@
 	return nil
 }
 
-func (f *Fleet) upstreamSpec(s Service, u Upstream, index int) spec {
-	fencing := catalogue.FencingChecked
-	if f.Kind != Router {
-		fencing = catalogue.FencingNone
-	}
+func (f *Fleet) upstreamSpec(s Service, u Upstream, index int, advertise string) spec {
 	cold := s.Cold
 	if f.Kind == Direct {
 		cold = s.Slots // nobody paces direct callers while upstreams warm
@@ -238,7 +258,7 @@
 	args := []string{
 		"upstream", "--name", string(u.ID), "--service", string(u.Service), "--zone", string(u.Zone),
 		"--slots", strconv.Itoa(s.Slots), "--cold-slots", strconv.Itoa(cold), "--warm-time", s.WarmTime.String(),
-		"--service-time", s.ServiceTime.String(), "--fencing", string(fencing), "--drain-time", "0s",
+		"--service-time", s.ServiceTime.String(), "--fencing", string(f.fencing()), "--drain-time", f.Shape.DrainTime.String(),
 		"--seed", strconv.FormatUint(f.Seed*1000+uint64(index), 10),
 		"--history", filepath.Join(f.Dir, "upstream-"+string(u.ID)+".jsonl"),
 	}
@@ -249,9 +269,45 @@
 	if f.StoreAddr != "" {
 		args = append(args, "--list", f.StoreAddr)
 	}
+	if f.Kind == Router {
+		args = append(args, "--secret", callerKeyPrefix)
+	}
+	if advertise != "" {
+		args = append(args, "--listen", u.Addr, "--advertise", advertise)
+	}
 	return spec{name: string(u.ID), path: f.Binaries.Standin, args: args}
 }
 
+func (f *Fleet) fencing() catalogue.Fencing {
+	switch {
+	case f.Fencing != "":
+		return f.Fencing
+	case f.Kind == Router:
+		return catalogue.FencingChecked
+	}
+	return catalogue.FencingNone
+}
+
+// RestartUpstream starts an upstream that has ended again. It is cold.
+func (f *Fleet) RestartUpstream(ctx context.Context, id fleet.UpstreamID) error {
+	s, ok := f.upstreamSpecs[id]
+	if !ok {
+		return errors.Errorf("no upstream %q", id)
+	}
+	addr, err := f.listen(ctx, s)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.Upstreams {
+		if f.Upstreams[i].ID == id {
+			f.Upstreams[i].Addr = addr
+		}
+	}
+	return nil
+}
+
 // Process returns a process by the name of its instance or upstream, or nil.
 func (f *Fleet) Process(name string) *Process {
 	f.mu.Lock()
@@ -355,6 +411,9 @@
 		}
 	}
 	close(f.stopped)
+	if f.network != nil {
+		f.network.relay.Close()
+	}
 	f.client.Close()
 }
 
--- a/internal/standin/lab/instances.go
+++ b/internal/standin/lab/instances.go
@@ -41,6 +41,11 @@
 			ID: InstanceID(n + 1), Zone: f.Shape.Zone(n), Caller: a[0], Peer: a[1], Forward: a[2], Operator: a[3],
 		})
 	}
+	if f.network != nil {
+		if err := f.network.addInstances(); err != nil {
+			return err
+		}
+	}
 	if f.Kind == Baseline {
 		if err := f.writeCatalogue(f.Shape.Catalogue(f.Rate, catalogue.FencingNone)); err != nil {
 			return err
@@ -76,18 +81,30 @@
 			seeds = append(seeds, o.Peer)
 		}
 	}
+	store, list := f.StoreAddr, f.StoreAddr
+	var through [][2]string
+	if f.network != nil {
+		store = f.network.addr(storeName)
+		through = [][2]string{
+			{"advertise-peer", f.network.addr(peerLink(i.ID))},
+			{"advertise-forward", f.network.addr(forwardLink(i.ID))},
+		}
+		for n := range seeds {
+			seeds[n] = f.network.relayed(seeds[n])
+		}
+	}
 	env := []string{settings.EnvFleetSecret + "=" + fleetSecret, settings.EnvOperatorToken + "=" + operatorToken}
-	for _, s := range [][2]string{
+	for _, s := range append(through, [][2]string{
 		{"instance", string(i.ID)},
 		{"zone", string(i.Zone)},
 		{"caller-listen", i.Caller},
 		{"peer-listen", i.Peer},
 		{"forward-listen", i.Forward},
 		{"operator-listen", i.Operator},
-		{"store", f.StoreAddr},
-		{"list", f.StoreAddr},
+		{"store", store},
+		{"list", list},
 		{"seeds", strings.Join(seeds, ",")},
-	} {
+	}...) {
 		env = append(env, settings.Env(s[0])+"="+s[1])
 	}
 	return spec{name: string(i.ID), path: f.Binaries.Proxy, args: []string{"serve"}, env: env}
@@ -194,7 +211,7 @@
 		return nil
 	}
 	if _, err := f.Edit(ctx, func(c *catalogue.Catalogue) {
-		*c = *f.Shape.Catalogue(f.Rate, catalogue.FencingChecked)
+		*c = *f.Shape.Catalogue(f.Rate, f.fencing())
 	}); err != nil {
 		return errors.Wrap(err, "apply the catalogue")
 	}
--- a/internal/standin/lab/shape.go
+++ b/internal/standin/lab/shape.go
@@ -18,6 +18,7 @@
 	Services    []Service
 	Accounts    []Account
 	CallerDelay time.Duration // between callers and instances
+	DrainTime   time.Duration // of upstreams after SIGTERM
 }
 
 // Service is a group of upstreams with one entry of the same name.
@@ -152,9 +153,12 @@
 // Prefix returns the path below which a service's entry routes.
 func (v Service) Prefix() string { return "/" + string(v.ID) + "/" }
 
+// callerKeyPrefix is what upstreams search their requests for.
+const callerKeyPrefix = "caller-key-of-"
+
 // CallerKey returns the caller key of an account.
 func CallerKey(id fleet.AccountID) fleet.CallerKey {
-	return fleet.CallerKey("caller-key-of-" + string(id))
+	return fleet.CallerKey(callerKeyPrefix + string(id))
 }
 
 // Rate returns an account's nominal share of the total rate.
--- a/internal/standin/lab/traffic.go
+++ b/internal/standin/lab/traffic.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -108,3 +109,12 @@
 	}
 	return r
 }
+
+// Stop ends the load, waits until its last request was answered and writes the
+// description of the phase.
+func (p *Phase) Stop(name string, within time.Duration) error {
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return p.Finish(name, within)
+}
--- a/internal/standin/relay/handler.go
+++ b/internal/standin/relay/handler.go
@@ -80,7 +80,7 @@
 func (s *Server) postFault(r *http.Request, e *jx.Encoder) error {
 	e.ObjEmpty()
 	q := r.URL.Query()
-	f := Fault{Mode: Mode(q.Get("mode")), Direction: Direction(q.Get("direction"))}
+	f := Fault{Mode: Mode(q.Get("mode")), Direction: Direction(q.Get("direction")), Client: q.Get("client")}
 	if v := q.Get("delay-ms"); v != "" {
 		n, err := strconv.ParseUint(v, 10, 31)
 		if err != nil {
--- a/internal/standin/relay/pipe.go
+++ b/internal/standin/relay/pipe.go
@@ -12,10 +12,16 @@
 
 // relayed is a client's connection with its counterpart to the target.
 type relayed struct {
+	name           string // of the client; empty: not known
 	client, target *net.TCPConn
 	up, down       *pipe // to the target, to the client
 }
 
+func (c *relayed) follow(b behaviours) {
+	c.up.set(b.toTarget)
+	c.down.set(b.toClient)
+}
+
 // run forwards until both directions have ended or one has failed.
 func (c *relayed) run() {
 	var wg sync.WaitGroup
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -6,7 +6,7 @@
 //	PUT    /routes?name=&listen=&target=   adds a route; answers {"listen":"IP:port"}
 //	DELETE /routes/NAME                    removes it and closes its connections
 //	GET    /routes                         lists routes with their state
-//	POST   /routes/NAME/fault?mode=&direction=to-target|to-client|both&delay-ms=
+//	POST   /routes/NAME/fault?mode=&direction=to-target|to-client|both&delay-ms=&client=
 //
 // Modes that last until the next one:
 //
@@ -23,7 +23,8 @@
 //	reset   they are reset
 //
 // A direction is to-target, to-client or both (the default); refuse, silent,
-// reset and ok apply to the whole route.
+// reset and ok apply to the whole route. A fault with a client concerns only the
+// connections of the client with this name, see Identify; ok ends all faults.
 package relay
 
 import (
@@ -65,15 +66,25 @@
 	Mode      Mode
 	Direction Direction     // empty means Both
 	Delay     time.Duration // of ModeDelay
+	Client    string        // empty: all; not for ModeRefuse
 }
 
 // Server is a running relay with its control API.
 type Server struct {
 	http *http1.Server
 
-	mu     sync.Mutex
-	routes map[string]*route
-	closed bool
+	mu       sync.Mutex
+	routes   map[string]*route
+	closed   bool
+	identify func(local, remote net.Addr) string // nil: clients have no names
+}
+
+// Identify makes the server name the clients of new connections. The arguments
+// are the addresses of the relay's end.
+func (s *Server) Identify(f func(local, remote net.Addr) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.identify = f
 }
 
 // Start starts a relay without routes. Its control API listens on addr.
@@ -122,7 +133,7 @@
 	if _, ok := s.routes[name]; ok {
 		return "", errors.Wrap(errExists, name)
 	}
-	r := &route{target: target, conns: make(map[*relayed]struct{})}
+	r := &route{target: target, conns: make(map[*relayed]struct{}), ofClient: make(map[string]behaviours), identify: s.identify}
 	if err := r.listen(listen); err != nil {
 		return "", errors.Wrapf(err, "route %s", name)
 	}
@@ -174,10 +185,24 @@
 	listener net.Listener // nil while connections are refused
 	closed   bool
 	conns    map[*relayed]struct{}
+	behaviours
+	ofClient map[string]behaviours // in place of the route's
+	identify func(local, remote net.Addr) string
+}
+
+type behaviours struct {
 	toTarget behaviour
 	toClient behaviour
 }
 
+// of returns the behaviours for a client.
+func (r *route) of(client string) behaviours {
+	if b, ok := r.ofClient[client]; ok {
+		return b
+	}
+	return r.behaviours
+}
+
 // listen opens the listener. The caller holds the lock or owns the route.
 func (r *route) listen(addr string) error {
 	ln, err := net.Listen("tcp", addr)
@@ -205,6 +230,10 @@
 // connect dials the target and forwards until both directions have ended. A
 // client whose target cannot be reached is reset.
 func (r *route) connect(client *net.TCPConn) {
+	name := ""
+	if r.identify != nil {
+		name = r.identify(client.LocalAddr(), client.RemoteAddr())
+	}
 	nc, err := net.DialTimeout("tcp", r.target, dialTimeout)
 	if err != nil {
 		reset(client)
@@ -212,7 +241,7 @@
 	}
 	target := nc.(*net.TCPConn)
 	c := &relayed{
-		client: client, target: target,
+		name: name, client: client, target: target,
 		up: newPipe(client, target), down: newPipe(target, client),
 	}
 	r.mu.Lock()
@@ -222,8 +251,7 @@
 		return
 	}
 	r.conns[c] = struct{}{}
-	c.up.set(r.toTarget)
-	c.down.set(r.toClient)
+	c.follow(r.of(name))
 	r.mu.Unlock()
 	c.run()
 	r.mu.Lock()
@@ -239,12 +267,13 @@
 	}
 	switch f.Mode {
 	case ModeOK:
-		r.behave(Both, behaviour{mode: ModeOK})
+		clear(r.ofClient)
+		r.behave(Fault{Direction: Both}, behaviour{mode: ModeOK})
 		if r.listener == nil {
 			return r.listen(r.addr)
 		}
 	case ModeCut, ModeHold, ModeDelay:
-		r.behave(f.Direction, behaviour{mode: f.Mode, delay: f.Delay})
+		r.behave(f, behaviour{mode: f.Mode, delay: f.Delay})
 	case ModeRefuse:
 		if r.listener != nil {
 			_ = r.listener.Close()
@@ -252,12 +281,16 @@
 		}
 	case ModeSilent:
 		for c := range r.conns {
-			c.up.silence()
-			c.down.silence()
+			if f.concerns(c) {
+				c.up.silence()
+				c.down.silence()
+			}
 		}
 	case ModeReset:
 		for c := range r.conns {
-			c.reset()
+			if f.concerns(c) {
+				c.reset()
+			}
 		}
 	default:
 		return errors.Errorf("mode %q, want ok, cut, hold, delay, refuse, silent or reset", f.Mode)
@@ -265,18 +298,25 @@
 	return nil
 }
 
+func (f Fault) concerns(c *relayed) bool { return f.Client == "" || f.Client == c.name }
+
 // behave changes a direction of the present and future connections. The caller
 // holds the lock.
-func (r *route) behave(d Direction, b behaviour) {
-	if d != ToClient {
-		r.toTarget = b
+func (r *route) behave(f Fault, b behaviour) {
+	next := r.of(f.Client)
+	if f.Direction != ToClient {
+		next.toTarget = b
+	}
+	if f.Direction != ToTarget {
+		next.toClient = b
 	}
-	if d != ToTarget {
-		r.toClient = b
+	if f.Client == "" {
+		r.behaviours = next
+	} else {
+		r.ofClient[f.Client] = next
 	}
 	for c := range r.conns {
-		c.up.set(r.toTarget)
-		c.down.set(r.toClient)
+		c.follow(r.of(c.name))
 	}
 }
 
--- a/internal/standin/report/checks.go
+++ b/internal/standin/report/checks.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/parsleyproxy/parsleyproxy/pkg/catalogue"
@@ -26,6 +27,7 @@
 		mustBeZero("wrong or short answers", float64(h.wrongAnswers()), ""),
 		mustBeZero("work above what an upstream bears", float64(h.overloads()), ""),
 		mustBeZero("requests in a zone out of service", float64(h.inZoneOut()), "started later than 3 s after the edit was in force"),
+		mustBeZero("caller keys seen by an upstream", float64(len(h.CallerKeys)), strings.Join(slices.Compact(slices.Sorted(slices.Values(h.CallerKeys))), ", ")),
 	}
 }
 
--- a/internal/standin/report/history.go
+++ b/internal/standin/report/history.go
@@ -57,6 +57,7 @@
 	Calls      []Call      // by T0
 	Executions []Execution // by Start
 	Overloads  []int64     // times at which an upstream was given more than it bears
+	CallerKeys []string    // where upstreams found caller keys
 	LastEvent  map[fleet.BootID]int64
 }
 
@@ -213,6 +214,7 @@
 	request, client       string
 	account, key, unit    string
 	concurrent, bears     int
+	detail                string
 }
 
 // ReadUpstream adds the history of one upstream. Lines are in order of time, and
@@ -226,7 +228,7 @@
 		if err := decodeObject(line, map[string]any{
 			"t": &v.t, "upstream": &v.upstream, "boot": &v.boot, "event": &v.event, "request-id": &v.request,
 			"client-id": &v.client, "account": &v.account, "key": &v.key, "unit": &v.unit,
-			"concurrent": &v.concurrent, "bears": &v.bears,
+			"concurrent": &v.concurrent, "bears": &v.bears, "detail": &v.detail,
 		}); err != nil {
 			return err
 		}
@@ -238,6 +240,8 @@
 			h.Executions = append(h.Executions, v.execution())
 		case "overload":
 			h.Overloads = append(h.Overloads, v.t)
+		case "caller-key":
+			h.CallerKeys = append(h.CallerKeys, v.detail)
 		case "end":
 			if len(open[id]) == 0 {
 				return errors.Errorf("request %q ends without a start", v.request)
--- a/internal/standin/upstream/execute.go
+++ b/internal/standin/upstream/execute.go
@@ -98,7 +98,8 @@
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	s.connect(r.RemoteAddr)
-	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.Copy(io.Discard, r.Body) // trailers arrive after the body
+	s.searchSecrets(r)
 	now := time.Now()
 	in, err := parse(now, s.cfg.Service, r)
 	if err != nil {
--- a/internal/standin/upstream/history.go
+++ b/internal/standin/upstream/history.go
@@ -16,7 +16,8 @@
 	e jx.Encoder
 }
 
-// record is an event of the history: start, effect, end, refuse or overload.
+// record is an event of the history: start, effect, end, refuse, overload or
+// caller-key.
 type record struct {
 	event  string
 	detail string // why the request was refused, or how it ended
--- a/internal/standin/upstream/report.go
+++ b/internal/standin/upstream/report.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -137,7 +138,7 @@
 			{"name", s.cfg.Name},
 			{"kind", "upstream"},
 			{"service", string(s.cfg.Service)},
-			{"address", s.Addr()},
+			{"address", cmp.Or(s.cfg.Advertise, s.Addr())},
 			{"zone", string(s.cfg.Zone)},
 			{"state", state},
 			{"boot", string(s.boot)},
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -53,6 +53,7 @@
 	Service             fleet.ServiceID
 	Zone                fleet.ZoneID
 	Addr                string // "IP:port"
+	Advertise           string // address in the instance list; empty: the one listened on
 	Slots, ColdSlots    int
 	WarmTime            time.Duration // of work, until all slots bear load
 	ServiceTime         time.Duration
@@ -66,6 +67,7 @@
 	History             io.Writer // nil: none
 	List                string    // address of the instance list; empty: not registered
 	DrainTime           time.Duration
+	Secrets             []string // caller keys, or common parts of them, that must not arrive
 	Seed                uint64
 }
 
