--- /dev/null
+++ b/internal/standin/scenario/fleet.go
@@ -0,0 +1,135 @@
+package scenario
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/http1"
+	"github.com/parsleyproxy/parsleyproxy/internal/standin/lab"
+	"github.com/parsleyproxy/parsleyproxy/pkg/catalogue"
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+var fleetSteps = map[string]step{
+	"fleet":   {usage: "[instances=N] [upstreams=N] [zones=N] [accounts=N] [rate=N] [class=CLASS] [fencing=none] [service-time=D] [relayed] [baseline]", run: (*Session).startFleet},
+	"load":    {usage: "[times=ACCOUNT:N] [sticky=ACCOUNT:SHARE]", run: (*Session).startLoad, marks: true},
+	"start":   {usage: "PROCESS", min: 1, run: (*Session).start, marks: true},
+	"replace": {usage: "INSTANCE", min: 1, run: (*Session).replace, marks: true},
+}
+
+// defaultRate keeps a fleet far below its capacity, so that refusals have other
+// causes than the machine.
+const defaultRate = 120
+
+func (s *Session) startFleet(ctx context.Context, args []string) error {
+	if s.fleet != nil {
+		return errors.New("the fleet runs already")
+	}
+	shape, err := lab.FindShape("small")
+	if err != nil {
+		return err
+	}
+	service := &shape.Services[0]
+	o := lab.Options{Kind: lab.Router, Dir: s.Dir, Binaries: s.Binaries, Rate: defaultRate, Seed: 1}
+	zones, accounts := len(shape.Zones), len(shape.Accounts)
+	whole := func(out *int) func(string) error {
+		return func(v string) (err error) { *out, err = strconv.Atoi(v); return err }
+	}
+	rate := 0
+	if err := options(args, map[string]func(string) error{
+		"instances": whole(&shape.Instances), "upstreams": whole(&service.Upstreams), "zones": whole(&zones),
+		"accounts": whole(&accounts), "rate": whole(&rate), "keys": whole(&service.Keys),
+		"class":        func(v string) error { service.Class = catalogue.Class(v); return nil },
+		"fencing":      func(v string) error { o.Fencing = catalogue.Fencing(v); return nil },
+		"service-time": func(v string) (err error) { service.ServiceTime, err = time.ParseDuration(v); return err },
+		"warm-time":    func(v string) (err error) { service.WarmTime, err = time.ParseDuration(v); return err },
+		"drain-time":   func(v string) (err error) { shape.DrainTime, err = time.ParseDuration(v); return err },
+		"relayed":      func(string) error { o.Relayed = true; return nil },
+		"baseline":     func(string) error { o.Kind = lab.Baseline; return nil },
+	}); err != nil {
+		return err
+	}
+	if rate > 0 {
+		o.Rate = float64(rate)
+	}
+	for len(shape.Zones) < zones {
+		shape.Zones = append(shape.Zones, fleet.ZoneID("zone-"+string(rune('a'+len(shape.Zones)))))
+	}
+	shape.Zones = shape.Zones[:zones]
+	for len(shape.Accounts) < accounts {
+		shape.Accounts = append(shape.Accounts, lab.Account{ID: fleet.AccountID("account-" + strconv.Itoa(len(shape.Accounts)+1)), Share: 20})
+	}
+	shape.Accounts = shape.Accounts[:accounts]
+	o.Shape = shape
+	if s.client, err = http1.NewClient(); err != nil {
+		return err
+	}
+	s.gone = make(map[string]bool)
+	s.fleet, err = lab.Start(ctx, o)
+	return err
+}
+
+// maxLoad bounds a load that no step stops.
+const maxLoad = 2 * time.Minute
+
+func (s *Session) startLoad(_ context.Context, args []string) (err error) {
+	perAccount := func(set func(a *lab.Account, n float64)) func(string) error {
+		return func(v string) error {
+			id, number, _ := strings.Cut(v, ":")
+			n, err := strconv.ParseFloat(number, 64)
+			if err != nil {
+				return err
+			}
+			for i := range s.fleet.Shape.Accounts {
+				if a := &s.fleet.Shape.Accounts[i]; string(a.ID) == id {
+					set(a, n)
+					return nil
+				}
+			}
+			return errors.Errorf("no account %q", id)
+		}
+	}
+	if err := options(args, map[string]func(string) error{
+		"times":  perAccount(func(a *lab.Account, n float64) { a.Times = n }),
+		"sticky": perAccount(func(a *lab.Account, n float64) { a.Sticky = n }),
+	}); err != nil {
+		return err
+	}
+	s.phase, err = s.fleet.StartLoad(lab.Traffic{Name: "load", Rate: s.fleet.Rate, Duration: maxLoad})
+	return err
+}
+
+func (s *Session) instance(name string) (lab.Instance, bool) {
+	for _, i := range s.fleet.Instances {
+		if string(i.ID) == name {
+			return i, true
+		}
+	}
+	return lab.Instance{}, false
+}
+
+// start starts a process that has ended.
+func (s *Session) start(ctx context.Context, args []string) error {
+	name := args[0]
+	if i, ok := s.instance(name); ok {
+		delete(s.gone, name)
+		return s.fleet.StartInstance(ctx, i)
+	}
+	return s.fleet.RestartUpstream(ctx, fleet.UpstreamID(name))
+}
+
+// replace ends an instance with SIGTERM, starts it again and waits until it is
+// ready.
+func (s *Session) replace(ctx context.Context, args []string) error {
+	if err := s.terminate(ctx, args); err != nil {
+		return err
+	}
+	if err := s.start(ctx, args); err != nil {
+		return err
+	}
+	return s.waitReady(ctx, append(args, "10s"))
+}
