instance: refuse an edit during a store outage as unavailable

A write to a store that is down ended in doubt after 3 s, because its bytes may have arrived, so the operator was told that the edit may have been stored. A read before the write now shows that nothing was changed. Scenario store-outage failed before this (stderr without 'nothing was changed') and passes.

--- a/internal/instance/operators.go
+++ b/internal/instance/operators.go
@@ -40,6 +40,12 @@
 func (n operators) Apply(ctx context.Context, base fleet.Revision, c *catalogue.Catalogue, by string) (fleet.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
+	// A write to a store that is down ends in doubt, because its bytes may have
+	// arrived. A read that fails beforehand shows that nothing was changed.
+	n.metrics.StoreCall("changes")
+	if _, err := n.store.Changes(ctx, platform.KeyCatalogue, base, 0); err != nil {
+		return 0, operatorError(err)
+	}
 	now, value := time.Now(), c.Format()
 	n.metrics.StoreCall("swap")
 	rev, err := n.store.Swap(ctx, platform.KeyCatalogue, base, value, by, now)
