--- a/internal/standin/lab/fleet.go
+++ b/internal/standin/lab/fleet.go
@@ -386,8 +386,9 @@
 	f.events = append(f.events, e)
 }
 
-// Close ends every process, in the reverse order of their start: first with
-// SIGTERM, so that histories are complete, then with SIGKILL.
+// Close ends every process, in the reverse order of their start: with SIGTERM, so
+// that histories are complete, then with SIGKILL. Instances write no histories and
+// get SIGKILL at once.
 func (f *Fleet) Close() {
 	f.mu.Lock()
 	if f.closed {
@@ -397,10 +398,16 @@
 	f.closed = true
 	order := f.order
 	f.mu.Unlock()
-	for _, group := range f.groups(order) {
+	for n, group := range f.groups(order) {
 		for _, p := range group {
 			_ = p.signal(syscall.SIGCONT)
-			_ = p.signal(syscall.SIGTERM)
+			if n == instanceGroup {
+				// Without load nothing is cut. Instances that all drain at once have
+				// nobody to hand their roles to and would wait for their timeout.
+				_ = p.signal(syscall.SIGKILL)
+			} else {
+				_ = p.signal(syscall.SIGTERM)
+			}
 		}
 		limit := time.Now().Add(termTimeout)
 		for _, p := range group {
@@ -417,6 +424,9 @@
 	f.client.Close()
 }
 
+// instanceGroup is the index of the instances in groups.
+const instanceGroup = 1
+
 // groups splits the processes into those that end together: load, instances,
 // and what they depend on.
 func (f *Fleet) groups(order []*Process) [3][]*Process {
@@ -431,7 +441,7 @@
 	for _, p := range order {
 		switch {
 		case instances[p.Name]:
-			out[1] = append(out[1], p)
+			out[instanceGroup] = append(out[instanceGroup], p)
 		case behind[p.Name]:
 			out[2] = append(out[2], p)
 		default:
