--- a/internal/assignment/ownership.go
+++ b/internal/assignment/ownership.go
@@ -17,7 +17,7 @@
 	InFlight     fleet.Slots
 	Queued       int
 	Load         float64       // requests per second
-	Granted      []fleet.Grant // handovers complete
+	Granted      []fleet.Grant // present fences: granted, or without an owner, released here
 	Hot          []HotKey
 }
 
