Poll with details only where needed; act only for the listed run

An instance that restarted under its id acted on the assignment of its former run, whose grants it does not know. An ended pin never left the table, since nobody reported it as complete.

--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -265,7 +265,10 @@
 			InFlight: fleet.Slots(len(u.open)), Queued: len(u.waiting()),
 		}
 		for _, x := range u.list {
-			if x.mine && x.state == unitGranted && len(x.own.Previous) > 0 {
+			// A unit without an owner, such as an ended pin, is complete when it is
+			// released; otherwise when its owner holds it.
+			granted := x.mine && x.state == unitGranted && len(x.own.Previous) > 0
+			if granted || x.own.Owner == "" && x.state == unitReleased {
 				r.Granted = append(r.Granted, fleet.Grant{Unit: x.own.Unit, Fence: x.own.Fence})
 			}
 		}
--- a/internal/instance/dispatcher.go
+++ b/internal/instance/dispatcher.go
@@ -64,6 +64,12 @@
 	}
 	terms := make(map[dutyKey]term)
 	var out []dispatch.Duty
+	if m, ok := s.member(n.self.ID); !ok || m.Boot != n.self.Boot {
+		// The assignment names an earlier run of this instance, whose grants this one
+		// does not know. The planner gives a restarted dispatcher new fences.
+		n.terms = terms
+		return nil
+	}
 	for _, u := range s.assignment.Upstreams {
 		if u.Dispatcher != n.self.ID {
 			continue
@@ -270,7 +276,7 @@
 	defer n.mu.Unlock()
 	s := n.snapshot()
 	up, ok := s.upstream(q.Upstream)
-	if !ok || up.Dispatcher != n.self.ID || s.known.Assignment < q.Assignment || !n.auth.Holds(now) {
+	if !ok || up.Dispatcher != n.self.ID || s.known.Assignment < q.Assignment || !n.holds(now) {
 		return peer.ReleasedAnswer{Released: make([]bool, len(q.Grants))}
 	}
 	return peer.ReleasedAnswer{Released: n.dispatch.Released(now, q.Upstream, q.Grants)}
@@ -293,7 +299,8 @@
 		if n.awaitsTerm() {
 			n.do(n.dispatch.Assign(now, n.duties(now, n.snapshot())))
 		}
-		n.do(n.dispatch.Tick(now, n.auth.Until()))
+		n.do(n.dispatch.Tick(now, n.authorityEnd(now)))
+		n.tellPlanner(now)
 		n.observe(now)
 		n.mu.Unlock()
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -69,6 +69,7 @@
 	// mu guards everything below.
 	mu            sync.Mutex
 	auth          *authority.Table
+	until         time.Time // see authorityEnd
 	members       *memberTable
 	listed        []platform.Listed
 	storeAnswered time.Time
@@ -79,6 +80,8 @@
 	holder        *limit.Holder
 	waits         map[fleet.LimitID]chan struct{} // closed when a call for tokens ends
 	dispatch      *dispatch.Table
+	news          bool                 // the planner should poll this instance
+	detailed      map[string]time.Time // peer address -> last poll for details
 	terms         map[dutyKey]term
 	warmth        map[fleet.UpstreamID]dispatch.Warmth // last reported by any dispatcher
 	pending       map[fleet.RequestID]*pendingJob
@@ -117,7 +120,7 @@
 		auth: authority.New(self.Run(), cfg.AuthorityTTL), members: newMemberTable(self.ID, self.Boot), phase: peer.Serving,
 		home: home, homes: newHomeTable(cfg.Instance, home), holder: limit.NewHolder(),
 		waits: map[fleet.LimitID]chan struct{}{}, dispatch: dispatch.New(dispatch.Config{Instance: cfg.Instance}),
-		terms: map[dutyKey]term{}, warmth: map[fleet.UpstreamID]dispatch.Warmth{}, pending: map[fleet.RequestID]*pendingJob{}, attempts: map[attemptKey]context.CancelFunc{}, pools: map[string]*http1.Pool{},
+		detailed: map[string]time.Time{}, terms: map[dutyKey]term{}, warmth: map[fleet.UpstreamID]dispatch.Warmth{}, pending: map[fleet.RequestID]*pendingJob{}, attempts: map[attemptKey]context.CancelFunc{}, pools: map[string]*http1.Pool{},
 		pins: map[fleet.ServiceID][]time.Time{}, changed: make(chan struct{}),
 	}
 	n.current.Store(emptySnapshot())
@@ -291,7 +294,7 @@
 	if n.phase != peer.Serving {
 		return errors.New("leaving")
 	}
-	if !n.auth.Holds(time.Now()) {
+	if !n.holds(time.Now()) {
 		return errors.New("no authority")
 	}
 	if o, out := n.outage(); out {
@@ -309,13 +312,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.members.asked(now, q)
+	if q.PollBack {
+		go n.poll(n.ctx, q.From.Address, false)
+	}
 	known := n.auth.Known()
 	if !known.Covers(q.Known) {
 		go n.fetch(n.ctx, q.From.Address)
 	}
 	a := peer.PollAnswer{
-		From: n.self.ID, Boot: n.self.Boot, Phase: n.phase, Known: known, StoreAge: -1,
-		Heard: n.members.heard(now), Reports: n.dispatch.Reports(now),
+		From: n.self.ID, Boot: n.self.Boot, Phase: n.phase, Known: known, StoreAge: -1, Details: q.Details,
+	}
+	if q.Details {
+		a.Heard, a.Reports = n.members.heard(now), n.dispatch.Reports(now)
 	}
 	if !n.storeAnswered.IsZero() {
 		a.StoreAge = now.Sub(n.storeAnswered)
@@ -344,6 +352,9 @@
 
 func (n *Instance) dispatchEvent(e dispatch.Event) {
 	n.events.add(time.Now(), occurrence{kind: "upstream " + string(e.Upstream) + " " + e.Kind, detail: e.Detail})
+	if e.Kind == "lost" || e.Kind == "granted" {
+		n.news = true
+	}
 	if e.Kind == "granted" || e.Kind == "released" {
 		n.log.Debug("dispatch", "upstream", e.Upstream, "event", e.Kind, "detail", e.Detail)
 		return
--- a/internal/instance/limits.go
+++ b/internal/instance/limits.go
@@ -146,13 +146,23 @@
 // called before any answer that could extend the authority is evaluated, so that
 // no lapse goes unnoticed. The caller holds mu.
 func (n *Instance) holds(now time.Time) bool {
-	if n.auth.Holds(now) {
+	if now.Before(n.authorityEnd(now)) {
 		return true
 	}
 	n.homes.lapse()
 	return false
 }
 
+// authorityEnd returns when the authority ends. Asking the table at every tick took
+// an eighth of an idle instance's processor time, so the answer is kept while it
+// is far off; it falls only when the member list changes. The caller holds mu.
+func (n *Instance) authorityEnd(now time.Time) time.Time {
+	if n.until.Sub(now) < n.cfg.AuthorityTTL*3/4 {
+		n.until = n.auth.Until()
+	}
+	return n.until
+}
+
 // takeOver asks the former homes of a limit to release it. A former home that
 // cannot answer is waited out by homeTable.settle.
 func (n *Instance) takeOver(id fleet.LimitID, revision fleet.Revision, former []fleet.InstanceID) {
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	pollInterval = 150 * time.Millisecond
-	// lostAfter is four missed polls.
+	pollInterval = 200 * time.Millisecond
+	// lostAfter is three missed polls.
 	lostAfter = 600 * time.Millisecond
+	// detailsInterval is how often instances other than the planner ask for
+	// details, from which they learn how warm upstreams are.
+	detailsInterval = time.Second
 	// joinAlone is how long a starting instance looks for live members before it
 	// plans by itself; it exceeds the time in which a member is declared lost.
 	joinAlone    = 1500 * time.Millisecond
@@ -25,9 +28,11 @@
 
 // sighting is the last answer of a member.
 type sighting struct {
-	since  time.Time // when the member was first listed
-	at     time.Time // of the last answer; zero if none
-	answer peer.PollAnswer
+	since     time.Time // when the member was first listed
+	at        time.Time // of the last answer; zero if none
+	answer    peer.PollAnswer
+	details   peer.PollAnswer // last answer with details
+	detailsAt time.Time       // zero if none
 }
 
 // age returns the time since the member last answered or was first listed.
@@ -102,6 +107,9 @@
 	}
 	s := t.seen[a.From]
 	s.at, s.answer = now, a
+	if a.Details {
+		s.detailsAt, s.details = now, a
+	}
 	return true
 }
 
@@ -201,7 +209,7 @@
 		if other == t.self || other == id || !t.alive(now, other) {
 			continue
 		}
-		if age, ok := s.answer.Heard[id]; ok && age+now.Sub(s.at) > lostAfter {
+		if age, ok := s.details.Heard[id]; ok && now.Sub(s.detailsAt) <= lostAfter && age+now.Sub(s.detailsAt) > lostAfter {
 			n++
 		}
 	}
@@ -260,7 +268,7 @@
 	defer tick.Stop()
 	for {
 		for _, addr := range n.pollTargets() {
-			go n.poll(ctx, addr)
+			go n.poll(ctx, addr, false)
 		}
 		select {
 		case <-ctx.Done():
@@ -295,16 +303,38 @@
 	return out
 }
 
+// tellPlanner makes the planner poll this instance at once if something happened
+// that the planner acts on. The caller holds mu.
+func (n *Instance) tellPlanner(now time.Time) {
+	if !n.news {
+		return
+	}
+	n.news = false
+	if n.members.planner(now, n.started) {
+		return
+	}
+	for _, m := range n.snapshot().assignment.Members {
+		if n.members.alive(now, m.ID) {
+			go n.poll(n.ctx, m.Address, true)
+			return
+		}
+	}
+}
+
 // poll asks one peer, unless the last poll of it has not ended.
-func (n *Instance) poll(ctx context.Context, addr string) {
+func (n *Instance) poll(ctx context.Context, addr string, pollBack bool) {
 	if _, busy := n.polling.LoadOrStore(addr, true); busy {
 		return
 	}
 	defer n.polling.Delete(addr)
 	n.mu.Lock()
-	q := peer.PollRequest{From: n.self, Phase: n.phase, Known: n.auth.Known()}
-	n.mu.Unlock()
 	sent := time.Now()
+	q := peer.PollRequest{From: n.self, Phase: n.phase, Known: n.auth.Known(), PollBack: pollBack}
+	q.Details = n.members.planner(sent, n.started) || sent.Sub(n.detailed[addr]) >= detailsInterval
+	if q.Details {
+		n.detailed[addr] = sent
+	}
+	n.mu.Unlock()
 	a, err := n.peers.Poll(ctx, addr, q)
 	n.metrics.ControlMessage("poll")
 	if err != nil {
--- a/internal/instance/planner.go
+++ b/internal/instance/planner.go
@@ -69,7 +69,7 @@
 func (n *Instance) planInput(now time.Time) (assignment.Input, fleet.Revision, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.auth.Holds(now) || now.Sub(n.storeAnswered) > n.cfg.AuthorityTTL {
+	if !n.holds(now) || now.Sub(n.storeAnswered) > n.cfg.AuthorityTTL {
 		return assignment.Input{}, 0, false
 	}
 	if !n.members.planner(now, n.started) {
@@ -106,7 +106,7 @@
 		if !n.members.alive(now, u.Dispatcher) {
 			continue
 		}
-		if r, ok := n.members.seen[u.Dispatcher].answer.Reports[u.ID]; ok {
+		if r, ok := n.members.seen[u.Dispatcher].details.Reports[u.ID]; ok {
 			out[u.ID] = r
 		}
 	}
--- a/internal/instance/records.go
+++ b/internal/instance/records.go
@@ -116,6 +116,7 @@
 	if next.assignment != old.assignment {
 		n.members.update(now, next.assignment.Members)
 		n.homes.learn(now, next)
+		n.until = time.Time{}
 		n.auth.SetMembers(runs(next.assignment.Members), runs(next.assignment.PreviousMembers))
 		n.confirmGone()
 	}
--- a/internal/instance/serve.go
+++ b/internal/instance/serve.go
@@ -78,7 +78,7 @@
 	for {
 		now := time.Now()
 		n.mu.Lock()
-		holds := n.auth.Holds(now)
+		holds := n.holds(now)
 		n.mu.Unlock()
 		if holds {
 			if refusal := n.outOfService(now); refusal != nil {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -138,12 +138,18 @@
 	})
 	str(e, "phase", m.Phase)
 	encodeKnown(e, m.Known)
+	boolean(e, "details", m.Details)
+	boolean(e, "poll-back", m.PollBack)
 }
 
 func (m *PollRequest) decode(d *jx.Decoder, field string) error {
 	switch field {
 	case "from":
 		return decodeObject(d, func(d *jx.Decoder, name string) error { return decodeMember(d, name, &m.From) })
+	case "details":
+		return getBool(d, &m.Details)
+	case "poll-back":
+		return getBool(d, &m.PollBack)
 	case "phase":
 		return getStr(d, &m.Phase)
 	case "known":
@@ -176,6 +182,10 @@
 	str(e, "phase", m.Phase)
 	encodeKnown(e, m.Known)
 	millis(e, "store-age-ms", m.StoreAge)
+	if !m.Details {
+		return
+	}
+	boolean(e, "details", true)
 	e.FieldStart("heard-ms")
 	e.Obj(func(e *jx.Encoder) {
 		for id, age := range m.Heard {
@@ -201,6 +211,8 @@
 		return getStr(d, &m.Phase)
 	case "known":
 		return decodeKnown(d, &m.Known)
+	case "details":
+		return getBool(d, &m.Details)
 	case "store-age-ms":
 		return getMillis(d, &m.StoreAge)
 	case "heard-ms":
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -25,20 +25,27 @@
 	From  assignment.Member
 	Phase Phase
 	Known authority.Known
+	// Details asks for Heard and Reports, which only the planner needs all the
+	// time; without them a poll costs less than half.
+	Details bool
+	// PollBack asks the planner to poll the sender at once, because its reports
+	// have changed.
+	PollBack bool
 }
 
 // PollAnswer tells what an instance knows.
 type PollAnswer struct {
-	From  fleet.InstanceID
-	Boot  fleet.BootID
-	Phase Phase
-	Known authority.Known
+	From    fleet.InstanceID
+	Boot    fleet.BootID
+	Phase   Phase
+	Known   authority.Known
+	Details bool
 	// StoreAge is the time since the store last answered this instance, or
 	// negative if it never did.
 	StoreAge time.Duration
-	// Heard is the time since each member last answered this instance.
+	// Heard is the time since each member last answered this instance, if Details.
 	Heard map[fleet.InstanceID]time.Duration
-	// Reports are about the upstreams that this instance dispatches for.
+	// Reports are about the upstreams that this instance dispatches for, if Details.
 	Reports map[fleet.UpstreamID]assignment.Report
 }
 
