--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -23,6 +23,7 @@
 	reportCommand,
 	baselineCommand,
 	demoCommand,
+	fleetCommand,
 }
 
 // newRoot returns the command with its subcommands.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -377,6 +377,11 @@
 	if left, ok := n.dispatch.LeaseLeft(now); ok {
 		n.metrics.LeaseLeft(left)
 	}
+	n.settleRevisions(now)
+}
+
+// settleRevisions notes which revisions have come into force. The caller holds mu.
+func (n *Instance) settleRevisions(now time.Time) {
 	for _, took := range n.revisions.settle(now, func(k authority.Known) bool { return n.auth.InForce(now, k) }) {
 		n.metrics.InForceAfter(took)
 	}
--- a/internal/instance/operators.go
+++ b/internal/instance/operators.go
@@ -92,6 +92,7 @@
 		}
 	}
 	p.InForce = s.known.Catalogue >= rev && n.auth.InForce(now, authority.Known{Catalogue: rev})
+	n.settleRevisions(now)
 	if at, ok := n.revisions.inForceSince(rev); ok {
 		p.Since = at
 	}
--- a/internal/standin/lab/fleet.go
+++ b/internal/standin/lab/fleet.go
@@ -102,10 +102,12 @@
 
 // Secrets of the test fleet.
 const (
-	fleetSecret   = "test-fleet-secret-0123456789abcdef"
-	operatorToken = "test-operator-token"
+	fleetSecret = "test-fleet-secret-0123456789abcdef"
 )
 
+// OperatorToken is the operators' bearer token of every test fleet.
+const OperatorToken = "test-operator-token"
+
 // Start starts a fleet and waits until it serves. The caller must Close it. On
 // an error everything has been ended.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
@@ -308,6 +310,14 @@
 	return nil
 }
 
+// PID returns the process id of a process, or 0.
+func (f *Fleet) PID(name string) int {
+	if p := f.Process(name); p != nil {
+		return p.cmd.Process.Pid
+	}
+	return 0
+}
+
 // Process returns a process by the name of its instance or upstream, or nil.
 func (f *Fleet) Process(name string) *Process {
 	f.mu.Lock()
@@ -453,7 +463,7 @@
 
 // Operator returns a client of an instance's operator API. The caller closes it.
 func (f *Fleet) Operator(i Instance) *operator.Client {
-	return operator.NewClient(f.client, i.Operator, operatorToken)
+	return operator.NewClient(f.client, i.Operator, OperatorToken)
 }
 
 // Targets returns where callers send their requests.
--- a/internal/standin/lab/instances.go
+++ b/internal/standin/lab/instances.go
@@ -93,7 +93,7 @@
 			seeds[n] = f.network.relayed(seeds[n])
 		}
 	}
-	env := []string{settings.EnvFleetSecret + "=" + fleetSecret, settings.EnvOperatorToken + "=" + operatorToken}
+	env := []string{settings.EnvFleetSecret + "=" + fleetSecret, settings.EnvOperatorToken + "=" + OperatorToken}
 	for _, s := range append(through, [][2]string{
 		{"instance", string(i.ID)},
 		{"zone", string(i.Zone)},
