capacity: evaluate within the measured range between points; correct admission

Cause: the fit over 10^4 to 10^7 units gave 50 ms for a plan of 829 units, where the smallest point shows 11.6 ms at 10,000; the admission series grew with the leases that the measurement itself piled up. Change: interpolation in the range, an upper bound below it; a point at 10^3 units; one lease per limit; a line for the sum of memory; the arithmetic test covers below, within and above the range (its series now start at 2, since 4 members would otherwise lie below the range).

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -38,7 +38,7 @@
 func TestArithmetic(t *testing.T) {
 	line := func(id string, slope, intercept float64) Series {
 		var points []Point
-		for _, x := range []float64{10, 20, 40} {
+		for _, x := range []float64{2, 10, 40} {
 			points = append(points, Point{X: x, Y: intercept + slope*x})
 		}
 		return Series{ID: id, Points: points, Fit: fitLine(points)}
@@ -55,6 +55,8 @@
 		"poll processor time of 4 members":    {m.pollCPU(4), 3 / 0.15 * 1e6},
 		"record of 4 members and 30 units":    {m.recordBytes(4, 30), 100 + 60 + 200},
 		"largest cell under 9,600 B/s":        {float64(largestCell(m.pollBytes, 9600)), 4},
+		"upper bound below the smallest size": {m.at("poll-bytes", 1), 64},
+		"fit above the largest size":          {m.at("poll-bytes", 100), 1044},
 		"factor beyond 40 at 100":             {m.factor("poll-bytes", 100), 2.5},
 		"requests served in a split of 3 + 1": {Split{Sizes: []int{3, 1}}.Share(), 0.625},
 		"fit of a straight line":              {m.series["poll-bytes"].Fit.R2, 1},
--- a/internal/capacity/cells.go
+++ b/internal/capacity/cells.go
@@ -10,6 +10,7 @@
 	PollBytes, PollCPU float64 // today's polls, every 150 ms, all members
 	VoterBytes         float64 // compact polls of five voters; a voter's share
 	MemberBytes        float64 // the same, of another member
+	VoterCPU           float64 // ns/s of a voter, at the cost of a token call
 	Reads              float64 // at the store, per second
 	ZoneWrites         float64 // after the loss of a zone
 	AssignmentBytes    float64 // B/s of records to a member
@@ -27,6 +28,7 @@
 	voter := min(voters, size)
 	// A voter is asked by all others and asks the other voters.
 	c.VoterBytes = (size - 1 + voter - 1) / voterPoll * compactCall
+	c.VoterCPU = (size - 1 + voter - 1) / voterPoll * m.slope("token-cpu")
 	c.MemberBytes = voter / voterPoll * compactCall
 	c.Reads = cells * cellReads
 	// One region loses a third of each of its cells: a plan and the finished
@@ -34,10 +36,10 @@
 	c.ZoneWrites = 2 * cells / regions
 	c.AssignmentBytes = assignmentRate / cells * c.Record * base64
 	c.HomeCPU = 10 * accounts / cells * m.at("home-choice", size)
-	// Every cell of the account's region asks each home once per period for all
+	// Every cell of the region asks each home once per period for all of the home's
 	// limits at once. The homes of a region's accounts are its instances.
 	perHome := float64(accounts) / nodes
-	c.TokenBytes = cells / regions / holderPeriod * (2*segmentBytes + 2*perHome*batchItem)
+	c.TokenBytes = cells / regions / holderPeriod * (segmentBytes + 2*perHome*batchItem)
 	return c
 }
 
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -48,7 +48,7 @@
 	return m, nil
 }
 
-func (m model) at(id string, x float64) float64 { return m.series[id].Fit.At(x) }
+func (m model) at(id string, x float64) float64 { return m.series[id].At(x) }
 
 func (m model) slope(id string) float64 { return m.series[id].Fit.Slope }
 
@@ -72,6 +72,12 @@
 	return m.at("assignment-bytes", units) + m.slope("members-bytes")*n
 }
 
+// memory is what an instance holds of the whole fleet and of its own upstreams.
+func (m model) memory() float64 {
+	return m.at("assignment-heap", units) + m.recordBytes(nodes, units) + m.at("poll-heap", nodes) +
+		m.at("metrics-heap", 200) + m.at("dispatch-heap", upstreamsPerNode)
+}
+
 func (m model) lines() []Line {
 	return slices.Concat(m.receiver(), m.dispatcher(), m.home(), m.planner(), m.store(), m.upstream())
 }
@@ -92,6 +98,10 @@
 			role, "memory", "connections to all members, both ends", m.at("poll-heap", nodes), memoryBound, "B",
 			"one connection per direction and peer", "cells: connections within the cell, and to one instance of each other cell in use", "poll-heap", nodes,
 		},
+		{
+			role, "memory", "sum of the memory lines without caller keys, with the stored record", m.memory(), memoryBound, "B",
+			"the lines above and below", "cells", "poll-heap", nodes,
+		},
 		{
 			role, "messages", "traffic of all-to-all polls", m.pollBytes(nodes), bytesBound, "B/s",
 			"", "cells; polls of five voters with a compact answer, full answers only on change", "poll-bytes", nodes,
@@ -107,7 +117,7 @@
 		},
 		{
 			role, "processor", "decoding of these records", assignmentRate * m.at("assignment-decode", units), cpuBound, "core",
-			"one decoding per write; planner writes are batched", "cells", "assignment-decode", units,
+			"one decoding per write; a plan covers all changes of 50 ms", "cells", "assignment-decode", units,
 		},
 		{
 			role, "messages", "catalogue of the largest allowed size (700 kB) after 16,000 changes a day", changeRate * 700e3 * base64, bytesBound, "B/s",
@@ -172,7 +182,7 @@
 		{
 			role, "messages", "token calls: one per request, since an instance gets 0.02 requests/s of an account",
 			requestsNode * 2 * (m.slope("token-bytes") + segmentBytes), bytesBound, "B/s",
-			"", "per-region limits, and one batched call per cell, home and 150 ms", "token-bytes", 1000,
+			"", "requests forwarded through their account's home, which admits them without a call; per-region limits keep that hop in the region", "token-bytes", 1000,
 		},
 		{
 			role, "processor", "token calls, both ends", requestsNode * m.slope("token-cpu"), cpuBound, "core",
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -199,10 +199,11 @@
 	row("polls as today, processor", "core", cpuBound, func(c Cell) float64 { return c.PollCPU })
 	row("compact polls of 5 voters every 300 ms, a voter (estimate)", "B/s", bytesBound, func(c Cell) float64 { return c.VoterBytes })
 	row("the same, another member (estimate)", "B/s", bytesBound, func(c Cell) float64 { return c.MemberBytes })
+	row("the same, a voter's processor at the cost of a token call", "core", cpuBound, func(c Cell) float64 { return c.VoterCPU })
 	row("store reads, one watch per cell and second", "1/s", readsBound, func(c Cell) float64 { return c.Reads })
 	row("writes after the loss of a zone, in the first second", "", writesBound, func(c Cell) float64 { return c.ZoneWrites })
 	row("choice of homes at today's pace", "core", cpuBound, func(c Cell) float64 { return c.HomeCPU })
-	row("batched token calls of a home, every cell of the region asking (estimate)", "B/s", bytesBound, func(c Cell) float64 { return c.TokenBytes })
+	row("rejected: batched token calls of a home, every cell of the region asking (estimate)", "B/s", bytesBound, func(c Cell) float64 { return c.TokenBytes })
 	return table(rows...)
 }
 
@@ -247,8 +248,8 @@
 	switch a := math.Abs(v); {
 	case a == 0:
 		return "0"
-	case a >= 1e6 || a < 1e-3:
-		return strconv.FormatFloat(v, 'e', 2, 64)
+	case a < 1e-3:
+		return "≈ 0"
 	case a >= 100:
 		return strconv.FormatFloat(v, 'f', 0, 64)
 	default:
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -7,6 +7,7 @@
 package capacity
 
 import (
+	"cmp"
 	"math"
 	"runtime"
 	"slices"
@@ -35,6 +36,25 @@
 // At returns the value of the line, or 0 where the line is below it.
 func (f Fit) At(x float64) float64 { return max(0, f.Intercept+f.Slope*x) }
 
+// At returns the value at size x: between measured sizes on the line through the
+// two nearest ones, above them on the fit. Below the smallest size it returns the
+// value there, which is an upper bound.
+func (s Series) At(x float64) float64 {
+	points := slices.Clone(s.Points)
+	slices.SortFunc(points, func(a, b Point) int { return cmp.Compare(a.X, b.X) })
+	for i, p := range points {
+		switch {
+		case x > p.X:
+		case i == 0:
+			return p.Y
+		default:
+			q := points[i-1]
+			return q.Y + (p.Y-q.Y)*(x-q.X)/(p.X-q.X)
+		}
+	}
+	return s.Fit.At(x)
+}
+
 // Largest returns the largest measured size.
 func (s Series) Largest() float64 {
 	var x float64
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -53,7 +53,8 @@
 	a := &assignment.Assignment{Members: members(12), NextFence: 1}
 	for first := 0; first < units; first += shardsPerService {
 		id := fleet.ServiceID(fmt.Sprintf("service-%04d", first/shardsPerService))
-		in.Catalogue.Services = append(in.Catalogue.Services, catalogue.Service{ID: id, Shards: shardsPerService, Slots: 6, ColdSlots: 1})
+		shards := min(shardsPerService, units-first)
+		in.Catalogue.Services = append(in.Catalogue.Services, catalogue.Service{ID: id, Shards: shards, Slots: 6, ColdSlots: 1})
 		var ups [upstreamsPerService]fleet.UpstreamID
 		for i := range ups {
 			ups[i] = fleet.UpstreamID(fmt.Sprintf("%s-up-%02d", id, i))
@@ -64,7 +65,7 @@
 			in.Listed = append(in.Listed, platform.Listed{Name: string(u.ID), Kind: platform.KindUpstream, Service: id, Address: u.Address, Zone: u.Zone, State: platform.StateLive})
 			in.Reports[u.ID] = assignment.Report{Limit: 6, Slots: 6}
 		}
-		for i := range shardsPerService {
+		for i := range shards {
 			a.Units = append(a.Units, assignment.Ownership{
 				Unit: fleet.Unit{Service: id, Shard: fleet.ShardID(i)}, Owner: ups[i%upstreamsPerService], Fence: a.NextFence,
 			})
@@ -88,7 +89,7 @@
 
 func measureAssignment(r *recorder) error {
 	const x = "units"
-	for _, n := range []int{1e4, 1e5, 1e6, 1e7} {
+	for _, n := range []int{1e3, 1e4, 1e5, 1e6, 1e7} {
 		in, err := settled(n)
 		if err != nil {
 			return err
@@ -349,10 +350,9 @@
 	bounds := make([][]limit.Bounded, n)
 	for i := range bounds {
 		bounds[i] = []limit.Bounded{{ID: fleet.AccountLimit(account(i)), Limit: l}, {ID: "entry:halls", Limit: l}}
-		for _, b := range bounds[i] {
-			h.Add(epoch, b.ID, limit.Lease{ID: 1, Granted: 1e12, TTL: tokenTTL})
-		}
+		h.Add(epoch, bounds[i][0].ID, limit.Lease{ID: 1, Granted: 1e12, TTL: tokenTTL})
 	}
+	h.Add(epoch, "entry:halls", limit.Lease{ID: 1, Granted: 1e12, TTL: tokenTTL})
 	i := 0
 	return perCall(func() {
 		h.Admit(epoch, bounds[i%n])
