--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,9 @@
 
 test: race
 
+demo: build
+	bin/standin demo
+
 race:
 	go test -race -timeout 15m ./...
 
--- a/internal/assignment/ownership.go
+++ b/internal/assignment/ownership.go
@@ -13,11 +13,12 @@
 // Report is what a dispatcher says about an upstream.
 type Report struct {
 	Lost         bool
-	Limit, Slots fleet.Slots // present and warm concurrency limit
+	Boot         fleet.BootID // run of the upstream that the report is about
+	Limit, Slots fleet.Slots  // present and warm concurrency limit
 	InFlight     fleet.Slots
 	Queued       int
 	Load         float64       // requests per second
-	Granted      []fleet.Grant // handovers complete
+	Granted      []fleet.Grant // present fences: granted, or without an owner, released here
 	Hot          []HotKey
 }
 
--- a/internal/instance/records.go
+++ b/internal/instance/records.go
@@ -110,6 +110,9 @@
 	defer n.mu.Unlock()
 	n.current.Store(next)
 	n.holds(now)
+	if next.catalogue != old.catalogue {
+		n.applyLimits(now, next)
+	}
 	if next.assignment != old.assignment {
 		n.members.update(now, next.assignment.Members)
 		n.homes.learn(now, next)
