--- a/internal/standin/scenario/fleet.go
+++ b/internal/standin/scenario/fleet.go
@@ -18,6 +18,7 @@
 	"fleet":   {usage: "[instances=N] [upstreams=N] [zones=N] [accounts=N] [rate=N] [class=CLASS] [fencing=none] [service-time=D] [relayed] [baseline]", run: (*Session).startFleet},
 	"load":    {usage: "[times=ACCOUNT:N] [sticky=ACCOUNT:SHARE]", run: (*Session).startLoad, marks: true},
 	"start":   {usage: "PROCESS", min: 1, run: (*Session).start, marks: true},
+	"smuggle": {usage: "ACCOUNT: requests carry its caller key in every form", min: 1, run: (*Session).smuggle, marks: true},
 	"replace": {usage: "INSTANCE", min: 1, run: (*Session).replace, marks: true},
 }
 
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -38,6 +38,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// Programs without a rule show that the scenario of the rule can fail.
+	if dir := os.Getenv("SCENARIO_PROGRAMS"); dir != "" {
+		binaries = lab.Binaries{Proxy: filepath.Join(dir, "parsleyproxy"), Standin: filepath.Join(dir, "standin")}
+	}
 	known := readKnownRed(t)
 	scripts, err := filepath.Glob("testdata/*.txtar")
 	if err != nil || len(scripts) == 0 {
