scenarios: keep requests in flight at the time of the fault

Requests of 10 ms were seldom in flight when a process was killed or cut off, so a router that repeats non-idempotent requests passed upstream-killed, instance-killed and silent-connection.

--- a/internal/standin/scenario/fleet.go
+++ b/internal/standin/scenario/fleet.go
@@ -15,7 +15,7 @@
 )
 
 var fleetSteps = map[string]step{
-	"fleet":   {usage: "[instances=N] [upstreams=N] [zones=N] [accounts=N] [rate=N] [class=CLASS] [fencing=none] [service-time=D] [relayed] [baseline]", run: (*Session).startFleet},
+	"fleet":   {usage: "[instances=N] [upstreams=N] [zones=N] [accounts=N] [rate=N] [class=CLASS] [fencing=none] [service-time=D] [straggle=PERCENT:D] [relayed] [baseline]", run: (*Session).startFleet},
 	"load":    {usage: "[times=ACCOUNT:N] [sticky=ACCOUNT:SHARE]", run: (*Session).startLoad, marks: true},
 	"start":   {usage: "PROCESS", min: 1, run: (*Session).start, marks: true},
 	"smuggle": {usage: "ACCOUNT: requests carry its caller key in every form", min: 1, run: (*Session).smuggle, marks: true},
@@ -49,8 +49,16 @@
 		"service-time": func(v string) (err error) { service.ServiceTime, err = time.ParseDuration(v); return err },
 		"warm-time":    func(v string) (err error) { service.WarmTime, err = time.ParseDuration(v); return err },
 		"drain-time":   func(v string) (err error) { shape.DrainTime, err = time.ParseDuration(v); return err },
-		"relayed":      func(string) error { o.Relayed = true; return nil },
-		"baseline":     func(string) error { o.Kind = lab.Baseline; return nil },
+		"straggle": func(v string) (err error) {
+			percent, d, _ := strings.Cut(v, ":")
+			if service.StragglePercent, err = strconv.ParseFloat(percent, 64); err != nil {
+				return err
+			}
+			service.StraggleTime, err = time.ParseDuration(d)
+			return err
+		},
+		"relayed":  func(string) error { o.Relayed = true; return nil },
+		"baseline": func(string) error { o.Kind = lab.Baseline; return nil },
 	}); err != nil {
 		return err
 	}
