http1: send and receive without extra goroutines

Cause: at half load the router added 1.18 ms at p50 to direct connections, above the target of 1 ms. Each request on each hop went through two goroutines that only handed it on. Change: a request on an open connection is written by its caller, and the event loop hands the answer over itself.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -42,7 +42,12 @@
 // never stopped: nbio loses a Stop that comes before its pollers run, and then
 // waits for ever.
 var sharedEngine = sync.OnceValues(func() (*nbhttp.Engine, error) {
-	engine := nbhttp.NewEngine(nbhttp.Config{Name: "http1-client", SupportServerOnly: true})
+	engine := nbhttp.NewEngine(nbhttp.Config{
+		Name: "http1-client", SupportServerOnly: true,
+		// Answers are only copied and handed over, which the event loop can do
+		// itself.
+		ServerExecutor: func(f func()) { f() },
+	})
 	if err := engine.Start(); err != nil {
 		return nil, errors.Wrap(err, "start client engine")
 	}
@@ -325,17 +330,24 @@
 
 func (c *conn) do(ctx context.Context, req *http.Request) (*Response, error) {
 	done := make(chan result, 1)
-	go c.cc.Do(req, func(res *http.Response, _ net.Conn, err error) {
-		if err != nil {
-			done <- result{err: c.classify(err)}
-			return
-		}
-		whole, err := readWhole(req.Method, res)
-		if err != nil {
-			err = &LostError{Addr: c.pool.addr, Err: err}
-		}
-		done <- result{res: whole, err: err}
-	})
+	send := func() {
+		c.cc.Do(req, func(res *http.Response, _ net.Conn, err error) {
+			if err != nil {
+				done <- result{err: c.classify(err)}
+				return
+			}
+			whole, err := readWhole(req.Method, res)
+			if err != nil {
+				err = &LostError{Addr: c.pool.addr, Err: err}
+			}
+			done <- result{res: whole, err: err}
+		})
+	}
+	if c.dialed {
+		send()
+	} else {
+		go send() // Do blocks while it dials
+	}
 	select {
 	case r := <-done:
 		if r.err != nil || r.res.Header.Get("Connection") == "close" {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -196,3 +196,25 @@
 		}
 	}
 }
+
+// BenchmarkDo measures a round trip on an idle connection.
+func BenchmarkDo(b *testing.B) {
+	s, err := Listen(ServerConfig{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "whole")
+	})})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	c, err := NewClient()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	p := c.NewPool(s.Addr(), PoolConfig{})
+	for b.Loop() {
+		if _, err := p.Do(b.Context(), &Request{Method: "GET", Target: "/"}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
