--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -268,7 +268,7 @@
 			"the same", "", "renew-bytes", 1000,
 		},
 		{
-			role, "state", "connections: 100 for requests, 4 for control, renewals apart", 106, 120, "",
+			role, "state", "connections: at most 100 for requests, 4 for control, 4 for renewals", 108, 120, "",
 			"a single dispatcher with bounded pools", "", "", 0,
 		},
 	}
