--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -78,13 +78,23 @@
 		m.at("metrics-heap", 200) + m.at("dispatch-heap", upstreamsPerNode)
 }
 
+// processor is what a node spends on records, decisions, ticks and renewals.
+func (m model) processor() float64 {
+	return assignmentRate*m.at("assignment-decode", units) + changeRate*m.at("catalogue-parse", 4000) +
+		requestsNode*(m.decision()+m.at("dispatch-request", upstreamsPerNode)) +
+		100*(m.at("dispatch-tick", upstreamsPerNode)+m.at("holder-tick", requestsNode)) +
+		m.at("control-calls", upstreamsPerNode)*m.slope("renew-cpu")
+}
+
+// decision is what the receiving instance decides per request.
+func (m model) decision() float64 { return m.at("route", 0) + m.at("admit", 0) + m.at("owner", 0) }
+
 func (m model) lines() []Line {
 	return slices.Concat(m.receiver(), m.dispatcher(), m.home(), m.planner(), m.store(), m.upstream())
 }
 
 func (m model) receiver() []Line {
 	const role = "receiving instance"
-	decisions := m.at("route", 0) + m.at("admit", 0) + m.at("owner", 0)
 	return []Line{
 		{
 			role, "memory", "decoded assignment of 379,870 units", m.at("assignment-heap", units), memoryBound, "B",
@@ -128,9 +138,13 @@
 			"one parse per change", "the catalogue in parts per service", "catalogue-parse", 4000,
 		},
 		{
-			role, "processor", "decisions for 2,182 requests/s: route, authenticate, limit, owner", requestsNode * decisions, cpuBound, "core",
+			role, "processor", "decisions for 2,182 requests/s: route, authenticate, limit, owner", requestsNode * m.decision(), cpuBound, "core",
 			"maps: the cost does not grow with keys or units", "fewer allocations in route.Decide; it is most of this line", "route", 1000,
 		},
+		{
+			role, "processor", "sum of the lines of a node that are carried one by one", m.processor(), cpuBound, "core",
+			"the lines above and below", "cells (no decoding for others), a queue of due times in the holder; decisions not counted as control", "", 0,
+		},
 		{
 			role, "memory", "metrics with 200 account labels", m.at("metrics-heap", 200), memoryBound, "B",
 			"a fixed number of account labels", "fewer labels", "metrics-heap", 200,
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -112,12 +112,15 @@
 		}
 		rows = append(rows, []string{l.Role, l.Kind, l.Figure, human(l.Value, l.Unit), human(l.Bound, l.Unit), verdict, how, source(m, l)})
 	}
-	return table(rows...)
+	return table(rows...) + fmt.Sprintf("\nA core makes %s dispatch decisions per second, and %s admissions with routing and look-up of the owner.\n",
+		thousands(1e9/m.at("dispatch-request", upstreamsPerNode)), thousands(1e9/m.decision()))
 }
 
+func thousands(v float64) string { return strconv.Itoa(int(math.Round(v/1000))) + ",000" }
+
 func source(m model, l Line) string {
 	if l.Source == "" {
-		return "arithmetic"
+		return "computed"
 	}
 	f := m.factor(l.Source, l.At)
 	if f <= 1 {
