assignment: swap a busy shard for a quiet one where the load is uneven

Cause: shards are spread evenly in number, not in load. Change: dispatchers report the average load of an upstream and its busiest units; the planner swaps one pair of shards per service and 3 s while an upstream is 20% and 5 requests/s above the mean and no handover is pending. Result: a planner script covers the choice, the pause and the end.

--- a/internal/assignment/ownership.go
+++ b/internal/assignment/ownership.go
@@ -18,10 +18,18 @@
 	InFlight     fleet.Slots
 	Queued       int
 	Load         float64       // requests per second
+	Average      float64       // requests per second over some seconds
+	Units        []UnitLoad    // the busiest, by their averages
 	Granted      []fleet.Grant // present fences: granted, or without an owner, released here
 	Hot          []HotKey
 }
 
+// UnitLoad is a unit with its average load.
+type UnitLoad struct {
+	Unit fleet.Unit
+	Rate float64 // requests per second
+}
+
 // HotKey is a routing key with many requests.
 type HotKey struct {
 	Key  fleet.RoutingKey
--- a/internal/assignment/plan.go
+++ b/internal/assignment/plan.go
@@ -24,6 +24,8 @@
 	Joining []Member
 	Reports map[fleet.UpstreamID]Report
 	LastPin map[fleet.ServiceID][]time.Time
+	// LastSwap is the time of the last move with CauseLoad.
+	LastSwap map[fleet.ServiceID]time.Time
 }
 
 // Cause says why something moved.
@@ -37,6 +39,7 @@
 	CauseUpstreamJoined     Cause = "upstream-joined"
 	CauseUpstreamGone       Cause = "upstream-gone"
 	CauseZoneOut            Cause = "zone-out"
+	CauseLoad               Cause = "load"
 	CauseBalance            Cause = "balance"
 	CauseWarming            Cause = "warming"
 	CausePin                Cause = "pin"
@@ -79,6 +82,7 @@
 		p.distribute(id)
 	}
 	p.changePins()
+	p.relieve()
 	p.dropUpstreams()
 	if !p.changed {
 		return p.current, nil, false
--- a/internal/assignment/script_test.go
+++ b/internal/assignment/script_test.go
@@ -96,6 +96,13 @@
 	case "load":
 		report.Load = float64(num(2))
 		w.reports[up] = report
+	case "average":
+		report.Average = float64(num(2))
+		w.reports[up] = report
+	case "busy": // the n-th shard that the upstream owns
+		owned := w.shardsOf(up)
+		report.Units = append(report.Units, UnitLoad{owned[num(2)], float64(num(3))})
+		w.reports[up] = report
 	case "hot":
 		report.Hot = append(report.Hot, HotKey{fleet.RoutingKey(arg(2)), float64(num(3))})
 		w.reports[up] = report
@@ -127,6 +134,16 @@
 
 // summary prints moves in order; those of several shards for one reason between
 // the same upstreams are counted.
+// shardsOf returns the shards of an upstream in order.
+func (w *world) shardsOf(up fleet.UpstreamID) (out []fleet.Unit) {
+	for _, o := range w.current.Units {
+		if o.Owner == up && o.Unit.Pin == "" {
+			out = append(out, o.Unit)
+		}
+	}
+	return out
+}
+
 func summary(moves []Move, changed bool) string {
 	if !changed {
 		return "> unchanged\n"
--- a/internal/assignment/world_test.go
+++ b/internal/assignment/world_test.go
@@ -23,6 +23,7 @@
 	learned bool
 	granted bool // dispatchers report everything as released and granted
 	pinned  map[fleet.ServiceID][]time.Time
+	swapped map[fleet.ServiceID]time.Time
 }
 
 func newWorld() *world {
@@ -30,7 +31,7 @@
 		now: time.Unix(1000, 0), current: &Assignment{}, learned: true, granted: true,
 		listed: map[string]platform.Listed{}, reports: map[fleet.UpstreamID]Report{},
 		joining: map[fleet.InstanceID]Member{}, lost: map[fleet.InstanceID]bool{},
-		leaving: map[fleet.InstanceID]bool{}, pinned: map[fleet.ServiceID][]time.Time{},
+		leaving: map[fleet.InstanceID]bool{}, pinned: map[fleet.ServiceID][]time.Time{}, swapped: map[fleet.ServiceID]time.Time{},
 	}
 }
 
@@ -65,7 +66,7 @@
 func (w *world) input() Input {
 	in := Input{
 		Current: w.current, Catalogue: &w.cat, Learned: w.learned, Reports: map[fleet.UpstreamID]Report{},
-		Lost: sortedKeys(w.lost), Leaving: sortedKeys(w.leaving), LastPin: w.pinned,
+		Lost: sortedKeys(w.lost), Leaving: sortedKeys(w.leaving), LastPin: w.pinned, LastSwap: w.swapped,
 	}
 	for _, id := range sortedKeys(w.listed) {
 		in.Listed = append(in.Listed, w.listed[id])
@@ -112,6 +113,9 @@
 		if m.Cause == CausePin {
 			w.pinned[m.Unit.Service] = append(w.pinned[m.Unit.Service], w.now)
 		}
+		if m.Cause == CauseLoad {
+			w.swapped[m.Unit.Service] = w.now
+		}
 	}
 	w.current = next
 	return moves, changed, nil
--- a/internal/dispatch/grants.go
+++ b/internal/dispatch/grants.go
@@ -112,6 +112,7 @@
 // their instance sends them to the new owner.
 func (t *Table) disown(u *upstream, x *unit) {
 	t.refuseUnit(u, x, fleet.ReasonNoOwner, "the unit "+x.own.Unit.String()+" moved to another upstream")
+	u.loads.forget(x.own.Unit)
 	if x.mine {
 		x.mine, x.state = false, unitDraining
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -149,6 +149,7 @@
 	x := u.units[r.Unit]
 	t.budget.earn()
 	u.hot.add(r.Key)
+	u.loads.add(r.Unit)
 	req := &request{Request: r, queued: true}
 	t.requests[r.ID] = req
 	if x.state == unitGranted {
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -134,6 +134,7 @@
 	nextGrant    time.Time
 	nextRevoke   time.Time
 	hot          hotKeys
+	loads        unitLoads
 }
 
 // Assign replaces all duties. An upstream that is no longer a duty gets no new
@@ -157,7 +158,7 @@
 	u := t.ups[d.Upstream]
 	if u == nil {
 		u = &upstream{
-			id: d.Upstream, units: make(map[fleet.Unit]*unit), hot: newHotKeys(now),
+			id: d.Upstream, units: make(map[fleet.Unit]*unit), hot: newHotKeys(now), loads: newUnitLoads(now),
 		}
 		u.warming.reset(d.ColdSlots)
 		t.ups[d.Upstream] = u
@@ -207,6 +208,7 @@
 	kept := t.order[:0]
 	for _, u := range t.order {
 		u.hot.roll(now)
+		u.loads.roll(now)
 		u.ghosts = slices.DeleteFunc(u.ghosts, func(g ghost) bool { return !now.Before(g.runsUntil) })
 		if u.retired && len(u.open) == 0 {
 			delete(t.ups, u.id)
@@ -264,6 +266,7 @@
 			Load: u.hot.load, Hot: slices.Clone(u.hot.top),
 			InFlight: fleet.Slots(len(u.open)), Queued: len(u.waiting()),
 		}
+		r.Average, r.Units = u.loads.report()
 		for _, x := range u.list {
 			// A unit without an owner, such as an ended pin, is complete when it is
 			// released; otherwise when its owner holds it.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -88,6 +88,7 @@
 	attempts      map[attemptKey]context.CancelFunc
 	pools         map[string]*http1.Pool
 	pins          map[fleet.ServiceID][]time.Time
+	swaps         map[fleet.ServiceID]time.Time
 	revisions     revisionClock
 	changed       chan struct{} // closed when current changes
 	observed      time.Time
@@ -121,7 +122,7 @@
 		home: home, homes: newHomeTable(cfg.Instance, home), holder: limit.NewHolder(),
 		waits: map[fleet.LimitID]chan struct{}{}, dispatch: dispatch.New(dispatch.Config{Instance: cfg.Instance}),
 		detailed: map[string]time.Time{}, terms: map[dutyKey]term{}, warmth: map[fleet.UpstreamID]dispatch.Warmth{}, pending: map[fleet.RequestID]*pendingJob{}, attempts: map[attemptKey]context.CancelFunc{}, pools: map[string]*http1.Pool{},
-		pins: map[fleet.ServiceID][]time.Time{}, changed: make(chan struct{}),
+		pins: map[fleet.ServiceID][]time.Time{}, swaps: map[fleet.ServiceID]time.Time{}, changed: make(chan struct{}),
 	}
 	n.current.Store(emptySnapshot())
 	return n, nil
--- a/internal/instance/planner.go
+++ b/internal/instance/planner.go
@@ -80,7 +80,7 @@
 		Current: s.assignment, Catalogue: s.catalogue, Listed: n.listed,
 		Learned: len(s.assignment.Members) == 0 || n.auth.Learned(s.known),
 		Lost:    n.members.lost(now), Leaving: n.members.leaving(now), Joining: n.members.joining(now),
-		Reports: n.reports(now), LastPin: n.lastPins(now),
+		Reports: n.reports(now), LastPin: n.lastPins(now), LastSwap: maps.Clone(n.swaps),
 	}
 	if n.phase == peer.Draining {
 		in.Leaving = append(in.Leaving, n.self.ID)
@@ -130,6 +130,9 @@
 		if m.Cause == assignment.CausePin {
 			n.pins[m.Unit.Service] = append(n.pins[m.Unit.Service], now)
 		}
+		if m.Cause == assignment.CauseLoad {
+			n.swaps[m.Unit.Service] = now
+		}
 	}
 	n.mu.Unlock()
 	for _, m := range moves {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -244,6 +244,16 @@
 	signed(e, "in-flight", r.InFlight)
 	signed(e, "queued", r.Queued)
 	e.Field("load", func(e *jx.Encoder) { e.Float64(r.Load) })
+	e.Field("average", func(e *jx.Encoder) { e.Float64(r.Average) })
+	e.FieldStart("units")
+	e.Arr(func(e *jx.Encoder) {
+		for _, u := range r.Units {
+			e.Obj(func(e *jx.Encoder) {
+				encodeUnit(e, u.Unit)
+				e.Field("rate", func(e *jx.Encoder) { e.Float64(u.Rate) })
+			})
+		}
+	})
 	encodeGrants(e, "granted", r.Granted)
 	e.FieldStart("hot")
 	e.Arr(func(e *jx.Encoder) {
@@ -273,6 +283,11 @@
 	case "load":
 		r.Load, err = d.Float64()
 		return err
+	case "average":
+		r.Average, err = d.Float64()
+		return err
+	case "units":
+		return getList(d, &r.Units, decodeUnitLoad)
 	case "granted":
 		return getList(d, &r.Granted, decodeGrant)
 	case "hot":
@@ -301,34 +316,53 @@
 	e.Arr(func(e *jx.Encoder) {
 		for _, g := range grants {
 			e.Obj(func(e *jx.Encoder) {
-				str(e, "service", g.Unit.Service)
-				if g.Unit.Pin != "" {
-					str(e, "pin", g.Unit.Pin)
-				} else {
-					e.Field("shard", func(e *jx.Encoder) { e.UInt32(uint32(g.Unit.Shard)) })
-				}
+				encodeUnit(e, g.Unit)
 				unsigned(e, "fence", g.Fence)
 			})
 		}
 	})
 }
 
+func encodeUnit(e *jx.Encoder, u fleet.Unit) {
+	str(e, "service", u.Service)
+	if u.Pin != "" {
+		str(e, "pin", u.Pin)
+	} else {
+		e.Field("shard", func(e *jx.Encoder) { e.UInt32(uint32(u.Shard)) })
+	}
+}
+
+func decodeUnit(d *jx.Decoder, field string, u *fleet.Unit) error {
+	switch field {
+	case "service":
+		return getStr(d, &u.Service)
+	case "pin":
+		return getStr(d, &u.Pin)
+	case "shard":
+		n, err := d.UInt32()
+		u.Shard = fleet.ShardID(n)
+		return err
+	default:
+		return d.Skip()
+	}
+}
+
 func decodeGrant(d *jx.Decoder, g *fleet.Grant) error {
 	return decodeObject(d, func(d *jx.Decoder, name string) error {
-		switch name {
-		case "service":
-			return getStr(d, &g.Unit.Service)
-		case "pin":
-			return getStr(d, &g.Unit.Pin)
-		case "shard":
-			n, err := d.UInt32()
-			g.Unit.Shard = fleet.ShardID(n)
-			return err
-		case "fence":
+		if name == "fence" {
 			return getUnsigned(d, &g.Fence)
-		default:
-			return d.Skip()
 		}
+		return decodeUnit(d, name, &g.Unit)
+	})
+}
+
+func decodeUnitLoad(d *jx.Decoder, u *assignment.UnitLoad) error {
+	return decodeObject(d, func(d *jx.Decoder, name string) (err error) {
+		if name == "rate" {
+			u.Rate, err = d.Float64()
+			return err
+		}
+		return decodeUnit(d, name, &u.Unit)
 	})
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -24,7 +24,8 @@
 		From: "i2", Boot: "b", Phase: Draining, Known: authority.Known{Catalogue: 4, Assignment: 9}, Details: true,
 		StoreAge: 30 * time.Millisecond, Heard: map[fleet.InstanceID]time.Duration{"i3": time.Second},
 		Reports: map[fleet.UpstreamID]assignment.Report{"u1": {
-			Lost: true, Boot: "ub", Limit: 2, Slots: 6, InFlight: 1, Queued: 3, Load: 1.5,
+			Lost: true, Boot: "ub", Limit: 2, Slots: 6, InFlight: 1, Queued: 3, Load: 1.5, Average: 1.25,
+			Units:   []assignment.UnitLoad{{Unit: fleet.Unit{Service: "s", Shard: 3}, Rate: 0.5}},
 			Granted: []fleet.Grant{{Unit: fleet.Unit{Service: "s", Shard: 7}, Fence: 11}, {Unit: fleet.Unit{Service: "s", Pin: `k"1`}, Fence: 12}},
 			Hot:     []assignment.HotKey{{Key: "k", Rate: 0.25}},
 		}},
