Let member changes through during a refill; never lose a request to a closed connection

The member list changes only when the last plan was learned, and moves to warming upstreams wrote a plan every 50 ms. Balancing, pins and swaps now wait for that too. TestPlanInvariants settles a second time with the last plan learned before it checks the balance, since moves that nothing requires wait for it; the first settling is checked as before.

The pool now passes over connections that have closed, and a write on one is not sent instead of lost, and tried again.

--- a/internal/assignment/plan.go
+++ b/internal/assignment/plan.go
@@ -81,8 +81,10 @@
 	for _, id := range p.serviceIDs() {
 		p.distribute(id)
 	}
-	p.changePins()
-	p.relieve()
+	if p.in.Learned {
+		p.changePins()
+		p.relieve()
+	}
 	p.dropUpstreams()
 	if !p.changed {
 		return p.current, nil, false
--- a/internal/assignment/plan_test.go
+++ b/internal/assignment/plan_test.go
@@ -93,6 +93,11 @@
 		if err := w.settle(); err != nil {
 			t.Fatal(err)
 		}
+		// Moves that nothing requires wait until the last plan was learned.
+		w.learned = true
+		if err := w.settle(); err != nil {
+			t.Fatal(err)
+		}
 		w.checkSettled(t)
 	})
 }
--- a/internal/assignment/units.go
+++ b/internal/assignment/units.go
@@ -83,7 +83,12 @@
 		to := neediest(usable, noWarm, math.MaxInt)
 		p.take(i, to, cause)
 	}
-	p.balance(s, usable)
+	// Moves that nothing requires wait until the last plan was learned. Otherwise a
+	// refill of a zone, which takes many plans, would hold off changes of the member
+	// list, which need that too: an instance could not leave within 10 s.
+	if p.in.Learned {
+		p.balance(s, usable)
+	}
 }
 
 // findRetiring notes the shards of pins without an owner. They stay where they
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -203,6 +203,25 @@
 // Do sends req and waits for the whole answer or the end of ctx. The error is a
 // *NotSentError or a *LostError.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
+	for attempt := 1; ; attempt++ {
+		res, err := p.try(ctx, req)
+		if attempt == maxAttempts || !closedBeforeWrite(err) {
+			return res, err
+		}
+	}
+}
+
+// maxAttempts bounds the attempts to find an open connection. nbio closes an idle
+// connection a moment before it says so; and an event for a connection that was
+// just closed can close another one that got its file descriptor.
+const maxAttempts = 3
+
+func closedBeforeWrite(err error) bool {
+	var notSent *NotSentError
+	return errors.As(err, &notSent) && (errors.Is(err, net.ErrClosed) || errors.Is(err, nbhttp.ErrClientClosed))
+}
+
+func (p *Pool) try(ctx context.Context, req *Request) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &NotSentError{Addr: p.addr, Err: err}
 	}
@@ -214,7 +233,22 @@
 	if err != nil {
 		return nil, &NotSentError{Addr: p.addr, Err: err}
 	}
-	return c.do(ctx, httpReq)
+	return c.do(ctx, httpReq, req.size() <= oneWrite)
+}
+
+// oneWrite is below the buffer of net/http's Request.Write, so that a request of
+// this size is written at once or not at all.
+const oneWrite = 3 << 10
+
+// size returns the bytes of the request, or a little more.
+func (r *Request) size() int {
+	n := len(r.Method) + len(r.Target) + len(r.Host) + len(r.Body) + 128
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
 }
 
 func (p *Pool) newRequest(req *Request) (*http.Request, error) {
@@ -248,10 +282,14 @@
 		return nil, ErrPoolClosed
 	}
 	p.closeStale(time.Now())
-	if n := len(p.idle); n > 0 {
+	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		return c, nil
+		if c.usable() {
+			return c, nil
+		}
+		delete(p.open, c)
+		go c.cc.CloseWithError(io.EOF)
 	}
 	if len(p.open) >= p.cfg.MaxConns {
 		return nil, ErrPoolFull
@@ -305,6 +343,8 @@
 	pool   *Pool
 	cc     *nbhttp.ClientConn
 	dialed bool // written before the request is, read after its end
+	// nc is the connection below, known from the first answer on.
+	nc interface{ IsClosed() (bool, error) }
 
 	idleSince time.Time // guarded by the pool
 }
@@ -323,19 +363,30 @@
 	return c
 }
 
+// usable reports whether the connection was not seen to close.
+func (c *conn) usable() bool {
+	if c.nc == nil {
+		return true
+	}
+	closed, _ := c.nc.IsClosed()
+	return !closed
+}
+
 type result struct {
 	res *Response
 	err error
 }
 
-func (c *conn) do(ctx context.Context, req *http.Request) (*Response, error) {
+// do sends req. If atomic, the request is written at once or not at all.
+func (c *conn) do(ctx context.Context, req *http.Request, atomic bool) (*Response, error) {
 	done := make(chan result, 1)
 	send := func() {
-		c.cc.Do(req, func(res *http.Response, _ net.Conn, err error) {
+		c.cc.Do(req, func(res *http.Response, nc net.Conn, err error) {
 			if err != nil {
-				done <- result{err: c.classify(err)}
+				done <- result{err: c.classify(err, atomic)}
 				return
 			}
+			c.nc, _ = nc.(interface{ IsClosed() (bool, error) })
 			whole, err := readWhole(req.Method, res)
 			if err != nil {
 				err = &LostError{Addr: c.pool.addr, Err: err}
@@ -362,9 +413,11 @@
 	}
 }
 
-// classify runs in the handler, after the dial has ended.
-func (c *conn) classify(err error) error {
-	if !c.dialed {
+// classify runs in the handler, after the dial has ended. ErrClientClosed comes
+// before the write, net.ErrClosed from a write on a connection that was closed
+// already; a connection that closes later ends with another error.
+func (c *conn) classify(err error, atomic bool) error {
+	if !c.dialed || errors.Is(err, nbhttp.ErrClientClosed) || atomic && errors.Is(err, net.ErrClosed) {
 		return &NotSentError{Addr: c.pool.addr, Err: err}
 	}
 	return &LostError{Addr: c.pool.addr, Err: err}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -197,6 +197,29 @@
 	}
 }
 
+// Guards against a request on a connection that has closed although the pool has
+// not been told, and against such a request being reported as perhaps received.
+func TestClosedIdleConnection(t *testing.T) {
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	p := newPool(t, s.Addr())
+	for range 5 {
+		if _, err := p.Do(t.Context(), &Request{Method: "GET", Target: "/"}); err != nil {
+			t.Fatal(err)
+		}
+		c := p.idle[0]
+		c.cc.OnClose(func() {})
+		if err := c.nc.(net.Conn).Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := &conn{pool: p, dialed: true}
+	for whole, want := range map[bool]bool{true: true, false: false} {
+		if diff := cmp.Diff(want, closedBeforeWrite(c.classify(net.ErrClosed, whole))); diff != "" {
+			t.Errorf("written at once %t: %s", whole, diff)
+		}
+	}
+}
+
 // BenchmarkDo measures a round trip on an idle connection.
 func BenchmarkDo(b *testing.B) {
 	s, err := Listen(ServerConfig{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
