lab: share one client between the fleets of a process

With a client per fleet, 3 of 32 starts failed in each of two runs with "use of closed network connection", also when the call was repeated; closing one client of internal/http1 while another dials seems to close the new connection.

--- a/internal/standin/lab/fleet.go
+++ b/internal/standin/lab/fleet.go
@@ -108,13 +108,18 @@
 // OperatorToken is the operators' bearer token of every test fleet.
 const OperatorToken = "test-operator-token"
 
+// Client returns the client that all fleets of the process share. It is never
+// closed: closing one client while another dials makes a new connection of the
+// other end with "use of closed network connection" now and then.
+var Client = sync.OnceValues(http1.NewClient)
+
 // Start starts a fleet and waits until it serves. The caller must Close it. On
 // an error everything has been ended.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return nil, err
 	}
-	client, err := http1.NewClient()
+	client, err := Client()
 	if err != nil {
 		return nil, err
 	}
@@ -124,7 +129,6 @@
 	}
 	if o.Relayed {
 		if f.network, err = newNetwork(f); err != nil {
-			client.Close()
 			return nil, err
 		}
 	}
@@ -431,7 +435,6 @@
 	if f.network != nil {
 		f.network.relay.Close()
 	}
-	f.client.Close()
 }
 
 // instanceGroup is the index of the instances in groups.
--- a/internal/standin/scenario/fleet.go
+++ b/internal/standin/scenario/fleet.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/standin/lab"
 	"github.com/parsleyproxy/parsleyproxy/pkg/catalogue"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
@@ -74,7 +73,7 @@
 	}
 	shape.Accounts = shape.Accounts[:accounts]
 	o.Shape = shape
-	if s.client, err = http1.NewClient(); err != nil {
+	if s.client, err = lab.Client(); err != nil {
 		return err
 	}
 	s.gone = make(map[string]bool)
--- a/internal/standin/scenario/scenario.go
+++ b/internal/standin/scenario/scenario.go
@@ -113,9 +113,6 @@
 	if s.fleet != nil {
 		s.fleet.Close()
 	}
-	if s.client != nil {
-		s.client.Close()
-	}
 }
 
 // options reads "name=value" arguments; others are an error.
