http1: let child processes inherit no connection

Cause: starts of fleets failed with "use of closed network connection", also on repeated calls. nbio duplicates descriptors without close-on-exec. A process that was forked meanwhile kept the connection open, so its events went on under a number that a new connection had, and closed that. Only programs that start processes are concerned; the router starts none. Change: descriptors are marked when they are opened, and no fork happens between.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -18,9 +18,11 @@
 	"net/url"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -48,6 +50,10 @@
 		// itself.
 		ServerExecutor: func(f func()) { f() },
 	})
+	// nbio duplicates descriptors without close-on-exec. A child process that
+	// inherits one keeps its events coming after it was closed here, and they close
+	// each new connection that gets its number.
+	engine.Engine.OnOpen(func(c *nbio.Conn) { syscall.CloseOnExec(c.Hash()) })
 	if err := engine.Start(); err != nil {
 		return nil, errors.Wrap(err, "start client engine")
 	}
@@ -397,7 +403,13 @@
 	if c.dialed {
 		send()
 	} else {
-		go send() // Do blocks while it dials
+		go func() { // Do blocks while it dials
+			// No child process may be forked between the duplication of the descriptor
+			// and OnOpen.
+			syscall.ForkLock.RLock()
+			defer syscall.ForkLock.RUnlock()
+			send()
+		}()
 	}
 	select {
 	case r := <-done:
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -32,9 +32,6 @@
 
 // TestScenarios guards the properties G1 to G14 under faults.
 func TestScenarios(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts fleets of processes")
-	}
 	binaries, err := lab.FindBinaries(t.Context(), t.TempDir())
 	if err != nil {
 		t.Fatal(err)
