Drop connections to what has left; count the grace of an outage from its learning

Cause: pools of replaced instances and gone upstreams were kept for ever; the grace after which an instance out of service refuses requests was counted on the operator's clock. Change: pools are retired when the assignment no longer names their address; the instance notes when it learned of the outage. The capacity measurement asks for details as instances do now.

--- a/internal/capacity/cells.go
+++ b/internal/capacity/cells.go
@@ -7,7 +7,7 @@
 	Size, Cells, Units float64
 	Record             float64 // B in the store
 	Plan               float64 // ns for plan, encode and decode
-	PollBytes, PollCPU float64 // today's polls, every 150 ms, all members
+	PollBytes, PollCPU float64 // today's polls of all members
 	VoterBytes         float64 // compact polls of five voters; a voter's share
 	MemberBytes        float64 // the same, of another member
 	VoterCPU           float64 // ns/s of a voter, at the cost of a token call
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -57,7 +57,7 @@
 func (m model) factor(id string, x float64) float64 { return x / m.series[id].Largest() }
 
 // pollBytes is the traffic of a member that polls n−1 others and is polled by
-// them every 150 ms.
+// them every pollEvery.
 func (m model) pollBytes(n float64) float64 {
 	return 2 * (n - 1) / pollEvery.Seconds() * (m.at("poll-bytes", n) + segmentBytes)
 }
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -30,7 +30,10 @@
 	secret = peer.Secret("0123456789abcdef0123456789abcdef")
 	// period is long enough for 20 rounds of polls.
 	period    = 3 * time.Second
-	pollEvery = 150 * time.Millisecond
+	pollEvery = 200 * time.Millisecond
+	// detailsEvery is the number of polls of which one asks for details, as
+	// instances other than the planner do once a second.
+	detailsEvery = 5
 	readEvery = 250 * time.Millisecond
 )
 
@@ -89,7 +92,11 @@
 	home         *limit.Home
 }
 
-func (a *answering) Poll(context.Context, peer.PollRequest) peer.PollAnswer { return a.answer }
+func (a *answering) Poll(_ context.Context, q peer.PollRequest) peer.PollAnswer {
+	answer := a.answer
+	answer.Details = q.Details
+	return answer
+}
 
 func (a *answering) Tokens(_ context.Context, m peer.TokensRequest) peer.TokensAnswer {
 	a.mu.Lock()
@@ -149,14 +156,16 @@
 	return p, nil
 }
 
-// round polls every member once, all at the same time, as an instance does, and
+// round polls every member once, as the n-th round, all at the same time, and
 // returns the number of polls without an answer within peer.CallTimeout.
-func (p *peers) round() int {
+func (p *peers) round(n int) int {
+	q := pollRequest()
+	q.Details = n%detailsEvery == 0
 	var missed atomic.Int64
 	var wg sync.WaitGroup
 	for _, s := range p.servers {
 		wg.Go(func() {
-			if _, err := p.client.Poll(context.Background(), s.Addr(), pollRequest()); err != nil {
+			if _, err := p.client.Poll(context.Background(), s.Addr(), q); err != nil {
 				missed.Add(1)
 			}
 		})
@@ -203,7 +212,7 @@
 		tick := time.NewTicker(pollEvery)
 		defer tick.Stop()
 		for ; rounds < int(period/pollEvery); rounds++ {
-			missed += p.round()
+			missed += p.round(rounds)
 			polls += n - 1
 			<-tick.C
 		}
@@ -216,8 +225,12 @@
 		return err
 	}
 	defer f.close()
+	asked := 0
 	b, err := bytesPerCall(f, func(c *peer.Client) error {
-		_, err := c.Poll(context.Background(), f.addr(), pollRequest())
+		q := pollRequest()
+		q.Details = asked%detailsEvery == 0
+		asked++
+		_, err := c.Poll(context.Background(), f.addr(), q)
 		return err
 	})
 	r.add("poll-bytes", "payload of a poll and its answer", x, "B", at, b)
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -194,6 +194,16 @@
 	}
 }
 
+// Retire closes the idle connections now and the others after their requests.
+// Further requests are not sent.
+func (p *Pool) Retire() {
+	p.client.forget(p)
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.CloseIdle()
+}
+
 // CloseIdle closes the idle connections, for use when the peer went silent on
 // one of them.
 func (p *Pool) CloseIdle() {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -267,6 +267,32 @@
 	}
 }
 
+// Guards against a retired pool that cuts a request in flight or sends another.
+func TestRetire(t *testing.T) {
+	started, release := make(chan bool), make(chan bool)
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		started <- true
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})
+	p := newPool(t, s.Addr())
+	answer := make(chan error, 1)
+	go func() {
+		_, err := p.Do(t.Context(), &Request{Method: "GET", Target: "/"})
+		answer <- err
+	}()
+	<-started
+	p.Retire()
+	var notSent *NotSentError
+	if _, err := p.Do(t.Context(), &Request{Method: "GET", Target: "/"}); !errors.As(err, &notSent) {
+		t.Errorf("Do on a retired pool = %v, want a NotSentError", err)
+	}
+	release <- true
+	if err := <-answer; err != nil {
+		t.Error(err)
+	}
+}
+
 // BenchmarkDo measures a round trip on an idle connection.
 func BenchmarkDo(b *testing.B) {
 	s, err := Listen(ServerConfig{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/instance/forward.go
+++ b/internal/instance/forward.go
@@ -68,6 +68,31 @@
 	return p
 }
 
+// retirePools drops the connections to instances and upstreams that the
+// assignment no longer names. The caller holds mu.
+func (n *Instance) retirePools(s *snapshot) {
+	named := make(map[string]bool, len(s.assignment.Members))
+	for _, m := range s.assignment.Members {
+		named[m.HTTP] = true
+	}
+	for addr, p := range n.pools {
+		if !named[addr] {
+			p.Retire()
+			delete(n.pools, addr)
+		}
+	}
+	kept := make(map[string]bool, len(s.assignment.Upstreams))
+	for _, u := range s.assignment.Upstreams {
+		kept[u.Address] = true
+	}
+	for _, u := range n.connected.Upstreams {
+		if !kept[u.Address] {
+			go n.upstreams.Forget(u.Address)
+		}
+	}
+	n.connected = s.assignment
+}
+
 func refusalOf(h http.Header) *fleet.Refusal {
 	r := &fleet.Refusal{Reason: fleet.Reason(h.Get(fleet.HeaderReason)), Detail: h.Get(peer.HeaderDetail)}
 	if ms, err := strconv.ParseInt(h.Get(peer.HeaderRetryAfter), 10, 64); err == nil {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -88,6 +88,9 @@
 	pending       map[fleet.RequestID]*pendingJob
 	attempts      map[attemptKey]context.CancelFunc
 	pools         map[string]*http1.Pool
+	// connected is the assignment whose instances and upstreams may have connections.
+	connected *assignment.Assignment
+	outSince      time.Time // when this instance learned that it is out of service
 	pins          map[fleet.ServiceID][]time.Time
 	swaps         map[fleet.ServiceID]time.Time
 	revisions     revisionClock
@@ -122,7 +125,7 @@
 		auth: authority.New(self.Run(), cfg.AuthorityTTL), members: newMemberTable(self.ID, self.Boot), phase: peer.Serving,
 		home: home, homes: newHomeTable(cfg.Instance, home), holder: limit.NewHolder(),
 		waits: map[fleet.LimitID]chan struct{}{}, dispatch: dispatch.New(dispatch.Config{Instance: cfg.Instance}),
-		detailed: map[string]time.Time{}, terms: map[dutyKey]term{}, warmth: map[fleet.UpstreamID]dispatch.Warmth{}, pending: map[fleet.RequestID]*pendingJob{}, attempts: map[attemptKey]context.CancelFunc{}, pools: map[string]*http1.Pool{},
+		detailed: map[string]time.Time{}, terms: map[dutyKey]term{}, warmth: map[fleet.UpstreamID]dispatch.Warmth{}, pending: map[fleet.RequestID]*pendingJob{}, attempts: map[attemptKey]context.CancelFunc{}, pools: map[string]*http1.Pool{}, connected: &assignment.Assignment{},
 		pins: map[fleet.ServiceID][]time.Time{}, swaps: map[fleet.ServiceID]time.Time{}, changed: make(chan struct{}),
 	}
 	n.current.Store(emptySnapshot())
--- a/internal/instance/records.go
+++ b/internal/instance/records.go
@@ -123,6 +123,8 @@
 	n.auth.Learn(now, next.known)
 	n.revisions.learn(now, next.known)
 	n.do(n.dispatch.Assign(now, n.duties(now, next)))
+	n.retirePools(next)
+	n.noteOutage(now, next)
 	close(n.changed)
 	n.changed = make(chan struct{})
 	n.log.Debug("learned", "catalogue", next.known.Catalogue, "assignment", next.known.Assignment)
--- a/internal/instance/serve.go
+++ b/internal/instance/serve.go
@@ -99,7 +99,10 @@
 // outOfService refuses work on an instance that operators have taken out.
 func (n *Instance) outOfService(now time.Time) *fleet.Refusal {
 	out, ok := n.outage()
-	if !ok || now.Sub(out.At) < outGrace {
+	n.mu.Lock()
+	since := n.outSince
+	n.mu.Unlock()
+	if !ok || since.IsZero() || now.Sub(since) < outGrace {
 		return nil
 	}
 	return &fleet.Refusal{
@@ -108,9 +111,22 @@
 	}
 }
 
+// noteOutage notes when this instance learned that it is out of service; the time
+// in the catalogue is of the operator's clock. The caller holds mu.
+func (n *Instance) noteOutage(now time.Time, s *snapshot) {
+	switch _, out := n.outageIn(s); {
+	case !out:
+		n.outSince = time.Time{}
+	case n.outSince.IsZero():
+		n.outSince = now
+	}
+}
+
 // outage returns the edit that took this instance or its zone out of service.
-func (n *Instance) outage() (catalogue.Outage, bool) {
-	c := n.snapshot().catalogue
+func (n *Instance) outage() (catalogue.Outage, bool) { return n.outageIn(n.snapshot()) }
+
+func (n *Instance) outageIn(s *snapshot) (catalogue.Outage, bool) {
+	c := s.catalogue
 	if o, ok := c.Out(catalogue.OutageInstance, string(n.self.ID)); ok {
 		return o, true
 	}
