--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -34,7 +34,7 @@
 	// detailsEvery is the number of polls of which one asks for details, as
 	// instances other than the planner do once a second.
 	detailsEvery = 5
-	readEvery = 250 * time.Millisecond
+	readEvery    = 250 * time.Millisecond
 )
 
 // forwarder passes TCP connections on and counts the bytes of both directions.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -90,12 +90,12 @@
 	pools         map[string]*http1.Pool
 	// connected is the assignment whose instances and upstreams may have connections.
 	connected *assignment.Assignment
-	outSince      time.Time // when this instance learned that it is out of service
-	pins          map[fleet.ServiceID][]time.Time
-	swaps         map[fleet.ServiceID]time.Time
-	revisions     revisionClock
-	changed       chan struct{} // closed when current changes
-	observed      time.Time
+	outSince  time.Time // when this instance learned that it is out of service
+	pins      map[fleet.ServiceID][]time.Time
+	swaps     map[fleet.ServiceID]time.Time
+	revisions revisionClock
+	changed   chan struct{} // closed when current changes
+	observed  time.Time
 }
 
 // tokenTTL is how long an instance may use tokens that it drew from a home. Holders
