Check a waiting request again after the catalogue changed

Cause: a request may wait for tokens or for an owner up to its deadline, and was sent even if its caller key was withdrawn meanwhile. Change: the receiving instance decides again before each attempt if it knows a newer catalogue. Result: TestWithdrawnKeyWhileWaiting; its case withdrawn got no-owner, not unauthenticated, before.

--- a/internal/instance/forward.go
+++ b/internal/instance/forward.go
@@ -157,7 +157,7 @@
 	return &job{
 		id: fleet.RequestID(id), account: fleet.AccountID(account), service: service, key: fleet.RoutingKey(key),
 		class: catalogue.Class(class), deadline: time.Now().Add(time.Duration(ms) * time.Millisecond),
-		method: r.Method, target: r.URL.RequestURI(), host: r.Host, header: header, body: body, forwarded: true,
+		method: r.Method, target: r.URL.RequestURI(), host: r.Host, header: header, body: body,
 	}, nil
 }
 
--- a/internal/instance/serve.go
+++ b/internal/instance/serve.go
@@ -32,24 +32,28 @@
 
 // job is a request on its way from the receiving instance to the upstream.
 type job struct {
-	id        fleet.RequestID
-	account   fleet.AccountID
-	service   catalogue.Service
-	key       fleet.RoutingKey
-	class     catalogue.Class
-	deadline  time.Time
-	method    string
-	target    string
-	host      string
-	header    http.Header
-	body      []byte
-	forwarded bool // came from another instance
+	id       fleet.RequestID
+	account  fleet.AccountID
+	service  catalogue.Service
+	key      fleet.RoutingKey
+	class    catalogue.Class
+	deadline time.Time
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     []byte
+	// recheck decides again after the catalogue has changed since decided; nil for
+	// jobs that another instance decided.
+	recheck func(*snapshot) *fleet.Refusal
+	decided fleet.Revision // of the catalogue
 }
 
 // Serve answers a caller's request: it decides who asks and for what, takes
 // tokens, and routes the request to the upstream that owns its key.
 func (n *Instance) Serve(ctx context.Context, in route.Incoming, body []byte) (*http1.Response, *fleet.Refusal) {
 	start := time.Now()
+	decided := n.snapshot().known.Catalogue
 	routed, refusal := n.decide(ctx, start, in)
 	if refusal != nil {
 		n.refused(start, in.RequestID, routed, refusal)
@@ -64,6 +68,11 @@
 	res, refusal := n.route(ctx, &job{
 		id: in.RequestID, account: routed.Account, service: routed.Service, key: routed.Key, class: routed.Entry.Class,
 		deadline: routed.Deadline, method: in.Method, target: routed.Target, host: in.Host, header: routed.Header, body: body,
+		decided: decided,
+		recheck: func(s *snapshot) *fleet.Refusal {
+			_, refusal := route.Decide(start, s.index, in)
+			return refusal
+		},
 	})
 	if refusal != nil {
 		n.refused(start, in.RequestID, routed, refusal)
@@ -182,6 +191,13 @@
 // routeOnce sends the job to the dispatcher that this instance knows of.
 func (n *Instance) routeOnce(ctx context.Context, j *job, attempt int) (*http1.Response, *fleet.Refusal) {
 	s := n.snapshot()
+	// A caller key that was withdrawn while the request waited must not be honoured.
+	if j.recheck != nil && s.known.Catalogue != j.decided {
+		if refusal := j.recheck(s); refusal != nil {
+			return nil, refusal
+		}
+		j.decided = s.known.Catalogue
+	}
 	own, ok := s.assignment.Owner(j.service.ID, j.key, j.service.Shards)
 	if !ok || own.Owner == "" {
 		return nil, noOwner("no upstream owns the key")
