--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -50,11 +50,11 @@
 		m.series[s.ID] = s
 	}
 	for name, c := range map[string]struct{ got, want float64 }{
-		// 3 peers × 2 × 20 per 3 s × (10×4 + 44 + 156 headers)
-		"poll traffic of 4 members":           {m.pollBytes(4), 6 / 0.15 * 240},
-		"poll processor time of 4 members":    {m.pollCPU(4), 3 / 0.15 * 1e6},
+		// 3 peers × 2 × 5 per s × (10×4 + 44 + 156 headers)
+		"poll traffic of 4 members":           {m.pollBytes(4), 6 / 0.2 * 240},
+		"poll processor time of 4 members":    {m.pollCPU(4), 3 / 0.2 * 1e6},
 		"record of 4 members and 30 units":    {m.recordBytes(4, 30), 100 + 60 + 200},
-		"largest cell under 9,600 B/s":        {float64(largestCell(m.pollBytes, 9600)), 4},
+		"largest cell under 7,200 B/s":        {float64(largestCell(m.pollBytes, 7200)), 4},
 		"upper bound below the smallest size": {m.at("poll-bytes", 1), 64},
 		"fit above the largest size":          {m.at("poll-bytes", 100), 1044},
 		"factor beyond 40 at 100":             {m.factor("poll-bytes", 100), 2.5},
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -37,8 +37,9 @@
 func (f Fit) At(x float64) float64 { return max(0, f.Intercept+f.Slope*x) }
 
 // At returns the value at size x: between measured sizes on the line through the
-// two nearest ones, above them on the fit. Below the smallest size it returns the
-// value there, which is an upper bound.
+// two nearest ones, above them on the fit, but not below the value at the largest
+// size: a slope that noise made negative would predict no cost at all. Below the
+// smallest size it returns the value there, which is an upper bound.
 func (s Series) At(x float64) float64 {
 	points := slices.Clone(s.Points)
 	slices.SortFunc(points, func(a, b Point) int { return cmp.Compare(a.X, b.X) })
@@ -52,7 +53,7 @@
 			return q.Y + (p.Y-q.Y)*(x-q.X)/(p.X-q.X)
 		}
 	}
-	return s.Fit.At(x)
+	return max(s.Fit.At(x), points[len(points)-1].Y)
 }
 
 // Largest returns the largest measured size.
