Look through all limits only while homes change

Cause: every instance chose the home of every limit 10 times a second, which the capacity page put at 189 cores for 100,000 accounts at the design scale. Change: it does so after a change of the members, the catalogue or a lapse, until each limit has its home. Result: TestUnsettledHomes; the page's line falls from 18,853% to 498% of a core, still not carried without cells (computed from the same measured slope).

--- a/internal/capacity/cells.go
+++ b/internal/capacity/cells.go
@@ -35,7 +35,7 @@
 	// handovers.
 	c.ZoneWrites = 2 * cells / regions
 	c.AssignmentBytes = assignmentRate / cells * c.Record * base64
-	c.HomeCPU = 10 * accounts / cells * m.at("home-choice", size)
+	c.HomeCPU = homeChecks(1/cells) * accounts / cells * m.at("home-choice", size)
 	// Every cell of the region asks each home once per period for all of the home's
 	// limits at once. The homes of a region's accounts are its instances.
 	perHome := float64(accounts) / nodes
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -72,6 +72,14 @@
 	return m.at("assignment-bytes", units) + m.slope("members-bytes")*n
 }
 
+// homeChecks returns how often per second an instance chooses the homes of all
+// limits again: every 100 ms for the 1.5 s after a change of the members, if it sees
+// the given share of the changes.
+func homeChecks(share float64) float64 {
+	const checksPerChange = 15
+	return share * checksPerChange * (restartsPerDay + failuresPerDay) / day
+}
+
 // memory is what an instance holds of the whole fleet and of its own upstreams.
 func (m model) memory() float64 {
 	return m.at("assignment-heap", units) + m.recordBytes(nodes, units) + m.at("poll-heap", nodes) +
@@ -203,8 +211,8 @@
 			"", "the same", "token-cpu", 1000,
 		},
 		{
-			role, "processor", "choice of the home for every limit, 10 times/s on every instance", 10 * accounts * m.at("home-choice", nodes), cpuBound, "core",
-			"", "choose again only when the members change, among the members of a cell", "home-choice", nodes,
+			role, "processor", "choice of the home for every limit on every instance, 15 times per change of the members", homeChecks(1) * accounts * m.at("home-choice", nodes), cpuBound, "core",
+			"", "choose among the members of a cell", "home-choice", nodes,
 		},
 		{
 			role, "processor", "100 ticks/s of a holder with 2,182 limits in use", 100 * m.at("holder-tick", requestsNode), cpuBound, "core",
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -21,6 +21,8 @@
 	// epochs. It is false after a start, until the newest one is in force.
 	complete bool
 	active   map[fleet.LimitID]bool
+	// unsettled is true while a limit may wait to become active here.
+	unsettled bool
 	// left holds the level of limits that moved away, for their new home.
 	left map[fleet.LimitID]fleet.Tokens
 }
@@ -41,6 +43,7 @@
 	if n := len(t.epochs); n > 0 && sameHomes(t.epochs[n-1].assignment, a) {
 		return
 	}
+	t.unsettled = true
 	t.epochs = append(t.epochs, homeEpoch{revision: s.known.Assignment, assignment: a})
 	for id := range t.active {
 		if a.Home(id) != t.self {
@@ -74,7 +77,7 @@
 	if len(t.epochs) > 0 {
 		t.epochs = slices.Delete(t.epochs, 0, len(t.epochs)-1)
 	}
-	t.complete = false
+	t.complete, t.unsettled = false, true
 	clear(t.active)
 	clear(t.left)
 }
--- a/internal/instance/limits.go
+++ b/internal/instance/limits.go
@@ -126,6 +126,7 @@
 // applyLimits makes a call to every bucket, so that a changed limit applies from
 // now on and not from the next call for tokens. The caller holds mu.
 func (n *Instance) applyLimits(now time.Time, s *snapshot) {
+	n.homes.unsettled = true // there may be new limits
 	for id := range n.homes.active {
 		bound, _ := s.index.Limit(id)
 		n.home.Take(now, bound, n.self.ID, limit.Call{ID: id})
@@ -224,14 +225,17 @@
 	n.homes.settle(func(rev fleet.Revision) bool {
 		return n.auth.InForce(now, authority.Known{Assignment: rev})
 	})
-	if now.Sub(n.homesChecked) < homesInterval {
+	if !n.homes.unsettled || now.Sub(n.homesChecked) < homesInterval {
 		return
 	}
 	n.homesChecked = now
 	// Buckets start empty. Becoming home before the first request asks spares
 	// that request a refusal.
+	n.homes.unsettled = false
 	for _, id := range n.snapshot().index.Limits() {
-		n.becomeHome(now, id)
+		if n.becomeHome(now, id) == homeWaiting {
+			n.homes.unsettled = true
+		}
 	}
 }
 
--- a/internal/instance/tables_test.go
+++ b/internal/instance/tables_test.go
@@ -238,3 +238,23 @@
 		t.Error("a restarted instance does not plan although no member lives")
 	}
 }
+
+// Guards against a limit that is never looked at again after it had to wait, or
+// after a lapse.
+func TestUnsettledHomes(t *testing.T) {
+	two := known(1, members("a", "b"))
+	h := newHome("i1")
+	h.learn(at(0), two)
+	if !h.unsettled {
+		t.Error("settled after the first assignment")
+	}
+	h.unsettled = false
+	h.learn(at(10), known(2, members("a", "b")))
+	if h.unsettled {
+		t.Error("unsettled although no home changed")
+	}
+	h.lapse()
+	if !h.unsettled {
+		t.Error("settled after a lapse")
+	}
+}
