Check the logs of instances for secrets

Cause: nothing checked that no caller key or token is logged. Change: the test of the README's session looks for the caller key, the operators' token and a granted key in the logs of all instances.

--- a/cmd/standin/readme_test.go
+++ b/cmd/standin/readme_test.go
@@ -57,9 +57,35 @@
 	if err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
+	checkLogs(t, f.Dir, []string{
+		string(lab.CallerKey(shape.Accounts[0].ID)), lab.OperatorToken, regexp.MustCompile(`pk_\S+`).FindString(string(out)),
+	})
 	for _, want := range []string{`"key":"hall-7"`, "upstream-lost", "in force at 20", "pk_"} {
 		if !strings.Contains(string(out), want) {
 			t.Errorf("the session does not print %q:\n%s", want, out)
 		}
 	}
 }
+
+// checkLogs guards against a caller key or a token in the log of an instance.
+func checkLogs(t *testing.T, dir string, secrets []string) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(dir, "instance-*.log"))
+	if err != nil || len(logs) == 0 {
+		t.Fatalf("logs: %v, %v", logs, err)
+	}
+	for _, name := range logs {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(text) == 0 {
+			t.Errorf("%s is empty", name)
+		}
+		for _, s := range secrets {
+			if s == "" || strings.Contains(string(text), s) {
+				t.Errorf("%s contains a secret, or the secret %q was not found", filepath.Base(name), s)
+			}
+		}
+	}
+}
