--- a/internal/standin/lab/instances.go
+++ b/internal/standin/lab/instances.go
@@ -151,16 +151,8 @@
 	return f.callStore(ctx, &http1.Request{Method: http.MethodPost, Target: "/faults?" + query})
 }
 
-// callStore repeats a lost call once, since these calls may run twice. In 3 of 32
-// starts, a new connection of http1 ended with "use of closed network connection"
-// while other fleets started in the same process.
 func (f *Fleet) callStore(ctx context.Context, r *http1.Request) error {
-	err := f.call(ctx, f.StoreAddr, r)
-	var lost *http1.LostError
-	if errors.As(err, &lost) && ctx.Err() == nil {
-		err = f.call(ctx, f.StoreAddr, r)
-	}
-	return err
+	return f.call(ctx, f.StoreAddr, r)
 }
 
 // UpstreamFault injects a fault into an upstream. The query is described in
