route: find caller keys across parameters and in partly escaped text

Cause: a fuzz run found three keys that reached an upstream: one with "&" that stood across two parameters, and two of which an escape before the key took the first bytes when the whole text was decoded ("%20%21" for the key "20!"). Change: the cleaned target is searched as a whole and refused; a key is matched with each byte as it is or as in a URL. The fuzz target returns from inputs that are no requests instead of skipping.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -178,6 +178,10 @@
 			out.Target += "?" + rawQuery
 		}
 	}
+	// A key with a separator in it can stand across parameters.
+	if s.found(out.Target) {
+		return out, refuse(fleet.ReasonBadRequest, "the query contains the caller key")
+	}
 	if out.Key, refusal = routingKey(t.entry.RoutingKey, decoded, rawQuery, out.Header); refusal != nil {
 		return out, refusal
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -124,7 +124,7 @@
 	f.Add("0000", "//lookup/../x", "0", "0", uint8(4), uint8(9))
 	f.Fuzz(func(t *testing.T, key, target, pre, post string, place, form uint8) {
 		if len(key) < 3 || strings.TrimSpace(key) != key || !plainText(key) || len(target) > 1000 {
-			t.Skip()
+			return // not a request that the HTTP parser lets through
 		}
 		text := pre + encode(key, form) + post
 		h := http.Header{"X-Api-Key": {key}, "X-Hall": {"1"}, fleet.HeaderDeadline: {"5"}}
--- a/internal/route/strip.go
+++ b/internal/route/strip.go
@@ -128,6 +128,9 @@
 		return false
 	}
 	if strings.ContainsAny(text, "%+") {
+		if s.partlyEscaped(text) {
+			return true
+		}
 		if d := percentDecode(text, false); d != text && s.nested(d, depth-1) {
 			return true
 		}
@@ -138,6 +141,37 @@
 	return s.inBase64(text, depth)
 }
 
+// partlyEscaped reports whether text contains a key of which some bytes are
+// percent-encoded. Decoding the whole text misses it where an escape before the
+// key takes its first bytes, as in "%20%21" for the key "20!".
+func (s *search) partlyEscaped(text string) bool {
+	for _, k := range s.keys {
+		for start := range len(text) {
+			if startsEscaped(text[start:], k) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// startsEscaped reports whether text starts with key, each byte as it is or as in
+// a URL.
+func startsEscaped(text, key string) bool {
+	if key == "" {
+		return true
+	}
+	if text == "" {
+		return false
+	}
+	same := text[0] == key[0] || text[0] == '+' && key[0] == ' '
+	if same && startsEscaped(text[1:], key[1:]) {
+		return true
+	}
+	return text[0] == '%' && len(text) > 2 && isHex(text[1]) && isHex(text[2]) &&
+		unhex(text[1])<<4|unhex(text[2]) == key[0] && startsEscaped(text[3:], key[1:])
+}
+
 func (s *search) direct(text string) bool {
 	for _, k := range s.keys {
 		if strings.Contains(text, k) {
