http1: take answers out of the event loop again

Cause: a full check failed in cmd/parsleyproxy and cmd/standin while a fuzz run took all cores: requests hung until their deadlines. A stack showed the event loop waiting for itself. nbio runs the end of a connection that closes meanwhile after the handler of its answer, and that locks the parser that the loop holds. Change: answers have goroutines of their own again; requests on open connections are still written by their callers. Result: TestCloseDuringAnswers fails after 20 s without the change and passes with it.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -46,9 +46,10 @@
 var sharedEngine = sync.OnceValues(func() (*nbhttp.Engine, error) {
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name: "http1-client", SupportServerOnly: true,
-		// Answers are only copied and handed over, which the event loop can do
-		// itself.
-		ServerExecutor: func(f func()) { f() },
+		// Not in the event loop: nbio runs the end of a connection that closes
+		// meanwhile after the answer's handler, and that locks the parser, which the
+		// event loop holds. The event loop would wait for itself.
+		ServerExecutor: func(f func()) { go f() },
 	})
 	// nbio duplicates descriptors without close-on-exec. A child process that
 	// inherits one keeps its events coming after it was closed here, and they close
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -267,6 +267,32 @@
 	}
 }
 
+// Guards against an event loop that waits for itself when a connection is closed
+// while its answer is handled: all later requests on that loop hung.
+func TestCloseDuringAnswers(t *testing.T) {
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	c, err := NewClient()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for range 1500 {
+		p := c.NewPool(s.Addr(), PoolConfig{})
+		if _, err := p.Do(ctx, &Request{Method: "GET", Target: "/"}); err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = p.Do(ctx, &Request{Method: "GET", Target: "/"})
+		}()
+		p.Close()
+		<-done
+	}
+}
+
 // Guards against a retired pool that cuts a request in flight or sends another.
 func TestRetire(t *testing.T) {
 	started, release := make(chan bool), make(chan bool)
