balance: tell the speed of a saturated upstream from its answers a second

Requests that waited for over 1.5 s were given up, so that the times of the rest, divided by the queue, made it look quick. Change: answers given beside a queue do not count as service times of the plan; the leader counts the answers to all instances, and takes slots x time / answers of an upstream whose answers nearly all tell of a queue.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -42,16 +42,6 @@
 }
 
 const (
-	// speedWeight is the weight of one answer in the running mean of the service
-	// time: about ten answers describe an upstream.
-	speedWeight = 0.15
-	// meanWeight is the same for the long mean, which keys are planned by: each change
-	// of the plan interrupts keys.
-	meanWeight = 0.05
-	// priorAnswers is the number of answers that the service's mean counts as.
-	priorAnswers = 5
-	// maxSpread bounds how far one service time may lie from its service's mean.
-	maxSpread = 4
 	// failureWeight is the weight of one answer in the failure rate.
 	failureWeight = 0.2
 	// evidenceHalfLife is the time in which a failure rate and the distance of a
@@ -101,6 +91,7 @@
 	ejections    int
 	ejectedUntil time.Time
 	samples      Samples // since they were taken last
+	window       window  // of all instances' answers, at the leader
 }
 
 // Table is all upstreams that the platform lists.
@@ -363,9 +354,17 @@
 		e.ejections = 0
 		t.learnSpeed(now, e, took, load)
 		t.learnFailure(now, e, 0)
-	case Failed, Silent:
+	case Failed:
 		t.learnFailure(now, e, 1)
+	case Silent:
+		t.learnFailure(now, e, 1)
+		if took.Seconds() > lostAfter*t.ServiceTime(now, e) {
+			e.samples.Lost++
+		}
 	case Full:
+		if load != nil && load.Waiting > 0 {
+			e.samples.Lost++
+		}
 		e.others = float64(e.Slots) * 2
 		e.reported = now
 	case Unreachable:
@@ -391,101 +390,6 @@
 	e.learned = now
 }
 
-func (t *Table) learnSpeed(now time.Time, e *Entry, took time.Duration, load *Load) {
-	s := took.Seconds()
-	if load != nil && load.Waiting > 0 {
-		// The request probably waited as well.
-		s /= 1 + float64(load.Waiting)/float64(max(load.Slots, 1))
-	}
-	e.samples.N++
-	e.samples.Sum += s
-	t.learnMean(e, s, 1)
-	if load != nil && load.Slowdown > 1 {
-		s /= load.Slowdown // for as long as a neighbour on its machine is busy
-	}
-	t.learn(now, e, s, speedWeight)
-}
-
-// learnMean takes the mean of n service times into the long mean, which neighbours'
-// work is part of. Before many answers, e counts as typical.
-func (t *Table) learnMean(e *Entry, s float64, n int) {
-	if typical := t.typical[e.Service]; typical > 0 {
-		s = min(max(s, typical/maxSpread), typical*maxSpread)
-		if e.answers == 0 {
-			e.meanTime = typical
-		}
-	}
-	weight := max(meanWeight, 1/float64(e.answers+priorAnswers))
-	if e.meanTime == 0 {
-		weight = 1
-	}
-	e.answers += n
-	e.meanTime += (s - e.meanTime) * (1 - math.Pow(1-weight, float64(n)))
-}
-
-// MeanTime returns the long mean of e's service time in seconds, or its service's
-// before the first answer.
-func (t *Table) MeanTime(now time.Time, e *Entry) float64 {
-	if e.meanTime == 0 {
-		return t.ServiceTime(now, e)
-	}
-	return e.meanTime
-}
-
-// learn takes a service time into the running means.
-func (t *Table) learn(now time.Time, e *Entry, s, weight float64) {
-	mix := func(old, weight float64) float64 {
-		if old == 0 {
-			return s
-		}
-		return old*(1-weight) + s*weight
-	}
-	e.serviceTime = mix(t.knownTime(now, e), weight)
-	t.typical[e.Service] = mix(t.typical[e.Service], weight/4)
-}
-
-// Samples are service times that an instance has measured.
-type Samples struct {
-	N   int
-	Sum float64 // seconds
-}
-
-// TakeSamples returns the service times measured since the last call, of the
-// upstreams of the services that want says.
-func (t *Table) TakeSamples(want func(fleet.ServiceID) bool) map[fleet.UpstreamID]Samples {
-	out := make(map[fleet.UpstreamID]Samples)
-	for id, e := range t.entries {
-		if e.samples.N > 0 && want(e.Service) {
-			out[id] = e.samples
-			e.samples = Samples{}
-		}
-	}
-	return out
-}
-
-// LearnSamples takes over what another instance has measured.
-func (t *Table) LearnSamples(now time.Time, id fleet.UpstreamID, s Samples) {
-	e := t.entries[id]
-	if e == nil || s.N <= 0 {
-		return
-	}
-	mean := s.Sum / float64(s.N)
-	t.learnMean(e, mean, s.N)
-	t.learn(now, e, mean, 1-math.Pow(1-speedWeight, float64(s.N)))
-	e.learned = now
-}
-
-// knownTime is ServiceTime, but 0 before the first answer of e.
-func (t *Table) knownTime(now time.Time, e *Entry) float64 {
-	if e.serviceTime == 0 {
-		return 0
-	}
-	return t.ServiceTime(now, e)
-}
-
-// Typical returns the mean service time of a service in seconds; 0 is unknown.
-func (t *Table) Typical(id fleet.ServiceID) float64 { return t.typical[id] }
-
 func decay(age, halfLife time.Duration) float64 {
 	if age <= 0 {
 		return 1
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -41,8 +41,8 @@
 			n = append(n, v)
 			return err
 		})
-		if err == nil && len(n) == 2 {
-			out[fleet.UpstreamID(id)] = balance.Samples{N: n[0], Sum: float64(n[1]) / 1000}
+		if err == nil && len(n) == 4 {
+			out[fleet.UpstreamID(id)] = balance.Samples{N: n[0], Sum: float64(n[1]) / 1000, Queued: n[2], Lost: n[3]}
 		}
 		return err
 	})
@@ -75,11 +75,13 @@
 	encodeDemand(&e, r.Demand)
 	e.FieldStart("speeds")
 	e.ObjStart()
-	for id, s := range r.Speeds { // number of answers, sum of their times in ms
+	for id, s := range r.Speeds { // answers without a queue, sum of their times in ms, answers with one, lost requests
 		e.FieldStart(string(id))
 		e.ArrStart()
 		e.Int(s.N)
 		e.Int(int(s.Sum * 1000))
+		e.Int(s.Queued)
+		e.Int(s.Lost)
 		e.ArrEnd()
 	}
 	e.ObjEnd()
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -351,6 +351,9 @@
 			r.upstreams.LearnSamples(now, id, s)
 		}
 	}
+	for id, s := range rep.Speeds {
+		r.upstreams.CountAnswers(now, id, s)
+	}
 	r.totalDemand = total
 	r.quota.Learn(now, total, r.ownDemand, r.instanceCount())
 	r.mu.Unlock()
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -20,7 +20,7 @@
 		Instance: "i1", Addr: "1.2.3.4:6", Version: keyspace.MapVersion{Term: 3, Seq: 9},
 		Keys:     map[fleet.ServiceID][]keyspace.Key{"s": {1, 65535}},
 		Demand:   map[fleet.AccountID]float64{"a": 12.5},
-		Speeds:   map[fleet.UpstreamID]balance.Samples{"u": {N: 2, Sum: 0.25}},
+		Speeds:   map[fleet.UpstreamID]balance.Samples{"u": {N: 2, Sum: 0.25, Queued: 3, Lost: 1}},
 		StoreAge: 1200 * time.Millisecond, Instances: 10, ListTerm: 3, ListSeq: 7, OperatorSeq: 2, Operator: "5 [z]",
 	}
 	got, err := decodeReport(rep.encode())
