direct: ask a holder again that turns a request away though it has room

Ruled out: full holders; their refusals tell a queue of more than the slots, and they are not asked again. Change: such a refusal is repeated within maxAttempts and the budget. Test: TestHolderThatShedsIsAskedAgain got 503 after one arrival before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -41,6 +41,9 @@
 	Slowdown         float64 // the time that work takes now, relative to the usual
 }
 
+// Queued reports whether so many requests wait that the upstream may be full.
+func (l *Load) Queued() bool { return l.Waiting >= int(l.Slots) }
+
 const (
 	// failureWeight is the weight of one answer in the failure rate.
 	failureWeight = 0.2
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -302,8 +302,11 @@
 			return out, true
 		}
 		again = r.mayRepeat(time.Now(), x)
-	default:
+	case a.answer.Load == nil || a.answer.Load.Queued() || x.sends > x.route.MaxAttempts:
 		return refuse(http.StatusServiceUnavailable, "holder-full", retryFull), true
+	default:
+		// It refuses a part of its requests without need; the next may be taken.
+		again = r.mayRepeat(time.Now(), x)
 	}
 	if !again {
 		return refuse(http.StatusServiceUnavailable, "retry-budget", retryFull), true
