direct: record the instances, not only their number

Change: the record of key holders lists the instances with their addresses. An instance that starts knows the homes of accounts from it, and a new leader counts the recorded instances for the first 5 s, also for its list. The number of instances is that of the list; the message with it is gone. Tests: TestHomesAreKnownAfterRestart did not compile before and had no homes; TestFleetSizeOutlastsRestart checks the same sizes on lists.

--- a/internal/direct/elect.go
+++ b/internal/direct/elect.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.recordRev, l.recordedSize = recordRev, rec.Instances
+	l.recordRev, l.recorded, l.recordedSize = recordRev, rec.Instances, len(rec.Instances)
 	l.owner = keyspace.NewOwner(time.Now(), l.term, keyspace.Timing{Hold: min(hold, r.cfg.MaxHold), Renew: renewGrants, Retry: retryGrants}, rec)
 	return l, nil
 }
--- a/internal/direct/elect_test.go
+++ b/internal/direct/elect_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
 // Guards against a large fleet that is led by an instance without the processor time
@@ -31,7 +33,7 @@
 	for age, want := range map[time.Duration]bool{
 		time.Second: true, 5 * time.Second: false,
 	} {
-		r := &Router{instances: make([]peer, 70), leader: leaderInfo{id: "i1", term: 4, heard: now.Add(-age)}}
+		r := &Router{instances: make([]fleet.Peer, 70), leader: leaderInfo{id: "i1", term: 4, heard: now.Add(-age)}}
 		if diff := cmp.Diff(want, r.silentStill(leaderInfo{id: "i1", term: 4})); diff != "" {
 			t.Errorf("silent for %v: %s", age, diff)
 		}
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -64,24 +64,25 @@
 	return false
 }
 
-// recallFleetSize reads how many instances there were, before any request can be
+// recallInstances reads which instances there were, before any request can be
 // admitted. An instance that took the fleet for smaller than it is would admit more
-// than its part of each limit until the leader tells.
-func (r *Router) recallFleetSize(ctx context.Context) {
+// than its part of each limit until the leader tells, and one that knows no homes of
+// accounts would refuse nearly all of their requests.
+func (r *Router) recallInstances(ctx context.Context) {
 	pause := storePause
 	for ctx.Err() == nil {
 		rec, _, err := r.readRecord(ctx)
 		r.storeAnswered(time.Now(), err)
 		if err == nil {
 			r.mu.Lock()
-			told := r.fleetSize > 0 // the leader knows better
+			told := len(r.instances) > 0 // the leader knows better
 			r.mu.Unlock()
 			if !told {
-				r.setInstances(nil, rec.Instances)
+				r.setInstances(rec.Instances)
 			}
 			return
 		}
-		r.log.Debug("size of the fleet not read", "error", err)
+		r.log.Debug("instances not read", "error", err)
 		sleep(ctx, pause)
 		pause = min(2*pause, maxStorePause)
 	}
@@ -92,7 +93,7 @@
 	if r.cfg.FirstStart { // nothing is recorded, and the leader tells all
 		r.awaitLeader(ctx, func() bool { return r.operator.Load() != nil })
 	} else {
-		r.recallFleetSize(ctx)
+		r.recallInstances(ctx)
 	}
 	known := false
 	pause := storePause
--- a/internal/direct/homes.go
+++ b/internal/direct/homes.go
@@ -73,13 +73,13 @@
 // homesOf returns the instances that count the account's requests, the one to ask
 // first at first: those with the highest hashes (rendezvous hashing) that answered
 // lately. The caller holds mu.
-func (r *Router) homesOf(now time.Time, id fleet.AccountID) []peer {
+func (r *Router) homesOf(now time.Time, id fleet.AccountID) []fleet.Peer {
 	homes, known := r.homes[id]
 	if !known {
 		homes = rendezvous(id, r.instances, homesTried)
 		r.homes[id] = homes
 	}
-	var up []peer
+	var up []fleet.Peer
 	for _, p := range homes {
 		if down, failed := r.homesDown[p.ID]; !failed || now.Sub(down) > homePause {
 			up = append(up, p)
@@ -89,8 +89,8 @@
 }
 
 // rendezvous returns the n first of peers in the account's own order.
-func rendezvous(id fleet.AccountID, peers []peer, n int) []peer {
-	var best []peer
+func rendezvous(id fleet.AccountID, peers []fleet.Peer, n int) []fleet.Peer {
+	var best []fleet.Peer
 	var hashes []uint64
 	for _, p := range peers {
 		h := xxhash.Sum64String(string(id) + "/" + string(p.ID))
@@ -101,7 +101,7 @@
 		if at >= n {
 			continue
 		}
-		best = append(best[:at], append([]peer{p}, best[at:]...)...)
+		best = append(best[:at], append([]fleet.Peer{p}, best[at:]...)...)
 		hashes = append(hashes[:at], append([]uint64{h}, hashes[at:]...)...)
 		best, hashes = best[:min(n, len(best))], hashes[:min(n, len(hashes))]
 	}
@@ -109,7 +109,7 @@
 }
 
 // askHome asks the home of an account for a token.
-func (r *Router) askHome(ctx context.Context, home peer, id fleet.AccountID) (bool, time.Duration, error) {
+func (r *Router) askHome(ctx context.Context, home fleet.Peer, id fleet.AccountID) (bool, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
 	defer cancel()
 	res, err := r.peers.Do(ctx, home.Addr, &http1.Request{Method: http.MethodGet, Target: tokensPath + "?" + url.QueryEscape(string(id))}, nil)
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -81,7 +82,8 @@
 	publishDue time.Time // of the next map
 	members    map[fleet.InstanceID]member
 	began      time.Time
-	// recordedSize is the number of instances as it is recorded.
+	recorded   []fleet.Peer // the instances, as the former leader recorded them
+	// recordedSize is the number of instances that this leader recorded last.
 	recordedSize int
 	stop         chan struct{} // closed by end
 	once         sync.Once
@@ -407,30 +409,36 @@
 
 // updateMembers forgets instances that do not report any more.
 func (r *Router) updateMembers(now time.Time, l *leadership) {
-	var known []peer
+	var known []fleet.Peer
 	for id, m := range l.members {
 		if now.Sub(m.heard) > memberSilent {
 			delete(l.members, id)
 			r.log.Info("instance lost", "instance", id)
 			continue
 		}
-		known = append(known, peer{id, m.addr})
+		known = append(known, fleet.Peer{ID: id, Addr: m.addr})
 	}
-	slices.SortFunc(known, func(a, b peer) int { return cmp.Compare(a.ID, b.ID) })
-	size := fleetSize(len(known), l.recordedSize, now.Sub(l.began))
-	if size > l.recordedSize || float64(size) < float64(l.recordedSize)*recordedShare {
-		l.recordedSize = size
-		l.owner.SetInstances(size)
+	known = fleetOf(known, l.recorded, now.Sub(l.began))
+	small := float64(len(known)) < float64(l.recordedSize)*recordedShare
+	l.owner.SetInstances(known, small || len(known) > l.recordedSize)
+	if small || len(known) > l.recordedSize {
+		l.recordedSize = len(known)
 	}
-	r.setInstances(known, size)
+	r.setInstances(known)
 }
 
-// fleetSize returns the number of instances that share bounds, of which a leader
-// knows some since it began. Instances that have not reported to it yet use their
-// parts all the same.
-func fleetSize(known, recorded int, led time.Duration) int {
+// fleetOf returns the instances that share bounds, in the order of their ids, of which
+// a leader knows some since it began. Those that have not reported to it yet use
+// their parts all the same.
+func fleetOf(known, recorded []fleet.Peer, led time.Duration) []fleet.Peer {
+	all := make(map[fleet.InstanceID]fleet.Peer)
 	if led < fleetSettles {
-		return max(known, recorded)
+		for _, p := range recorded {
+			all[p.ID] = p
+		}
+	}
+	for _, p := range known {
+		all[p.ID] = p
 	}
-	return known
+	return slices.SortedFunc(maps.Values(all), func(a, b fleet.Peer) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -156,10 +156,8 @@
 	e.UInt64(r.Term)
 	if len(r.Instances) > 0 {
 		e.FieldStart("instances")
-		encodePeers(&e, r.Instances)
+		fleet.EncodePeers(&e, r.Instances)
 	}
-	e.FieldStart("fleet-size")
-	e.Int(r.FleetSize)
 	encodeDemand(&e, r.Demand)
 	e.FieldStart("operator")
 	e.Str(r.Operator)
@@ -234,9 +232,7 @@
 		case "term":
 			r.Term, err = d.UInt64()
 		case "instances":
-			r.Instances, err = decodePeers(d)
-		case "fleet-size":
-			r.FleetSize, err = d.Int()
+			r.Instances, err = fleet.DecodePeers(d)
 		case "demand":
 			r.Demand, err = decodeDemand(d)
 		case "operator":
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -21,14 +21,8 @@
 	peerTimeout = 200 * time.Millisecond
 )
 
-// peer is an instance and where the others reach it.
-type peer struct {
-	ID   fleet.InstanceID
-	Addr string
-}
-
 // fingerprint tells lists of peers apart. It is 0 for an empty one.
-func fingerprint(peers []peer) uint64 {
+func fingerprint(peers []fleet.Peer) uint64 {
 	if len(peers) == 0 {
 		return 0
 	}
@@ -39,7 +33,7 @@
 	return h.Sum64()
 }
 
-func ids(peers []peer) []fleet.InstanceID {
+func ids(peers []fleet.Peer) []fleet.InstanceID {
 	out := make([]fleet.InstanceID, 0, len(peers))
 	for _, p := range peers {
 		out = append(out, p.ID)
@@ -47,31 +41,12 @@
 	return out
 }
 
-func encodePeers(e *jx.Encoder, peers []peer) {
-	e.ObjStart()
-	for _, p := range peers {
-		e.FieldStart(string(p.ID))
-		e.Str(p.Addr)
-	}
-	e.ObjEnd()
-}
-
-func decodePeers(d *jx.Decoder) ([]peer, error) {
-	var peers []peer
-	err := d.Obj(func(d *jx.Decoder, id string) error {
-		addr, err := d.Str()
-		peers = append(peers, peer{fleet.InstanceID(id), addr})
-		return err
-	})
-	return peers, err
-}
-
 // askPeers asks other instances for a leader that this one does not know yet, for
 // when the store serves others only. It reports whether there is one, and follows
 // it.
 func (r *Router) askPeers(ctx context.Context) bool {
 	r.mu.Lock()
-	var asked []peer
+	var asked []fleet.Peer
 	for _, i := range r.rng.Perm(len(r.instances)) {
 		if p := r.instances[i]; p.ID != r.cfg.Instance && p.ID != r.leader.id && len(asked) < peersAsked {
 			asked = append(asked, p)
@@ -94,7 +69,7 @@
 	return false
 }
 
-func (r *Router) askLeader(ctx context.Context, p peer) (leaderInfo, error) {
+func (r *Router) askLeader(ctx context.Context, p fleet.Peer) (leaderInfo, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	res, err := r.peers.Do(ctx, p.Addr, &http1.Request{Method: http.MethodGet, Target: leaderPath}, nil)
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -10,17 +11,18 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
 // newRouter returns an instance that others reach at its second result.
-func newRouter(t *testing.T, id fleet.InstanceID) (*Router, peer) {
+func newRouter(t *testing.T, id fleet.InstanceID) (*Router, fleet.Peer) {
 	t.Helper()
 	r := New(Settings{Instance: id, Quota: QuotaTolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}}, Platform{}, NewMetrics(), hclog.NewNullLogger())
 	s := httptest.NewServer(http.HandlerFunc(r.servePeer))
 	t.Cleanup(s.Close)
-	return r, peer{id, s.Listener.Addr().String()}
+	return r, fleet.Peer{ID: id, Addr: s.Listener.Addr().String()}
 }
 
 // Guards against an instance that the store turns away and that never finds the
@@ -29,7 +31,7 @@
 	a, _ := newRouter(t, "a")
 	b, addr := newRouter(t, "b")
 	a.leader = leaderInfo{id: "old", term: 4}
-	a.setInstances([]peer{{"a", ""}, addr, {"old", "127.0.0.1:1"}}, 3)
+	a.setInstances([]fleet.Peer{{ID: "a"}, addr, {ID: "old", Addr: "127.0.0.1:1"}})
 	for name, c := range map[string]struct {
 		told leaderInfo
 		want bool
@@ -56,7 +58,7 @@
 	account := routes.Account{ID: "small", Limit: fleet.Limit{Rate: 1, Burst: 10}}
 	table := routes.NewTable(1, nil, []routes.Account{account}, nil, nil)
 	var all []*Router
-	var peers []peer
+	var peers []fleet.Peer
 	servers := make(map[fleet.InstanceID]*Router)
 	for i := range 4 {
 		r, p := newRouter(t, fleet.InstanceID(fmt.Sprint("i", i)))
@@ -65,7 +67,7 @@
 		servers[p.ID] = r
 	}
 	for _, r := range all {
-		r.setInstances(peers, 70)
+		r.setInstances(peers)
 		r.home.Admit(time.Now().Add(-time.Minute), account.ID, account.Limit) // a full burst since
 	}
 	send := func(n int) (admitted int) {
@@ -93,3 +95,28 @@
 		t.Errorf("homes %v", homes)
 	}
 }
+
+// recordStore is a store that holds the leaders' record alone.
+type recordStore struct {
+	Store
+	record keyspace.Record
+}
+
+func (s recordStore) Get(context.Context, string) (Item, error) {
+	return Item{Value: s.record.Encode(), Revision: 1}, nil
+}
+
+// Guards against instances that start again together and refuse nearly all requests
+// of an account until the leader has told who counts them.
+func TestHomesAreKnownAfterRestart(t *testing.T) {
+	r, _ := newRouter(t, "i000")
+	r.out.Store = recordStore{record: keyspace.Record{Instances: peersNamed(60)}}
+	r.recallInstances(t.Context())
+	want := rendezvous("small", peersNamed(60), homesTried)
+	if diff := cmp.Diff(want, r.homesOf(time.Now(), "small")); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(60, r.instanceCount()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -75,8 +75,7 @@
 	Version   keyspace.MapVersion
 	Whole     bool
 	Held      map[fleet.ServiceID][]keyspace.Held
-	Instances []peer                      // empty if they have not changed
-	FleetSize int                         // the number of instances that share bounds
+	Instances []fleet.Peer                // empty if they have not changed
 	Demand    map[fleet.AccountID]float64 // of all instances
 	List      listDelta
 	// The operators' wishes as the leader knows them, and the time since it was told
@@ -173,7 +172,7 @@
 // takeReply takes over what the leader knows.
 func (r *Router) takeReply(now time.Time, rep report, rp reply) {
 	asked := now.Add(-rp.List.Age)
-	r.setInstances(rp.Instances, rp.FleetSize)
+	r.setInstances(rp.Instances)
 	r.mu.Lock()
 	r.leader.heard = now
 	r.quota.Learn(now, rp.Demand, rep.Demand, r.instanceCount())
@@ -316,7 +315,6 @@
 	if rep.Instances != fingerprint(r.instances) {
 		rp.Instances = r.instances
 	}
-	rp.FleetSize = r.fleetSize
 	rp.Demand = r.totalDemand
 	rp.OperatorAge = now.Sub(r.operatorChecked)
 	if rep.ListTerm != l.term {
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -35,7 +36,7 @@
 		Held: map[fleet.ServiceID][]keyspace.Held{"s": {
 			{Span: keyspace.Span{From: 0, To: 9}, Holder: "u"}, {Span: keyspace.Span{From: 10, To: 65535}},
 		}},
-		Instances: []peer{{"i1", "1.2.3.4:6"}}, FleetSize: 70, Demand: map[fleet.AccountID]float64{"a": 3},
+		Instances: []fleet.Peer{{ID: "i1", Addr: "1.2.3.4:6"}}, Demand: map[fleet.AccountID]float64{"a": 3},
 		Operator: "5 [z]", OperatorSeq: 4, OperatorAge: 20 * time.Millisecond,
 		Source: []byte("{\"version\":\"5\"}\n"), Evacuated: []fleet.ZoneID{"z"}, OperatorRevision: 70,
 		List: listDelta{Seq: 8, Age: 30 * time.Millisecond, Removed: []fleet.UpstreamID{"v"}, Changed: []balance.Registration{
@@ -125,18 +126,28 @@
 		"instances left":               {40, 70, 6 * time.Second, 40},
 		"first start":                  {3, 0, time.Second, 3},
 	} {
-		if diff := cmp.Diff(c.want, fleetSize(c.known, c.recorded, c.led)); diff != "" {
+		got := fleetOf(peersNamed(c.known), peersNamed(c.recorded), c.led)
+		if diff := cmp.Diff(peersNamed(c.want), got); diff != "" {
 			t.Errorf("%s: %s", name, diff)
 		}
 	}
 	r := New(Settings{Instance: "i1"}, Platform{}, NewMetrics(), hclog.NewNullLogger())
-	r.setInstances(nil, 70) // as recorded
-	r.setInstances([]peer{{ID: "i1"}, {ID: "i2"}, {ID: "i3"}}, 70)
+	r.setInstances(peersNamed(70)) // as recorded
+	r.setInstances(nil)            // the leader knows no others
 	if diff := cmp.Diff(70, r.instanceCount()); diff != "" {
 		t.Error(diff)
 	}
 }
 
+// peersNamed returns n instances in the order of their ids.
+func peersNamed(n int) []fleet.Peer {
+	var peers []fleet.Peer
+	for i := range n {
+		peers = append(peers, fleet.Peer{ID: fleet.InstanceID(fmt.Sprintf("i%03d", i)), Addr: "127.0.0.1:1"})
+	}
+	return peers
+}
+
 // Guards against a configuration that every instance reads from the store although
 // the leader has it, and against one that an older leader's knowledge reverts.
 func TestOperatorIsTold(t *testing.T) {
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -63,11 +63,10 @@
 	quota     *quota.Table
 	lone      *quota.Table // of accounts whose homes do not answer
 	home      *quota.Home
-	homes     map[fleet.AccountID][]peer     // of accounts, as they follow from instances
-	homesDown map[fleet.InstanceID]time.Time // homes that did not answer
+	homes     map[fleet.AccountID][]fleet.Peer // of accounts, as they follow from instances
+	homesDown map[fleet.InstanceID]time.Time   // homes that did not answer
 	budgets   map[fleet.ServiceID]*balance.Budget
-	instances []peer
-	fleetSize int                            // the number of instances, also of those that the leader does not know yet; 0 is unknown
+	instances []fleet.Peer
 	leaves    map[fleet.UpstreamID]time.Time // when upstreams were seen to leave
 	evacuates map[fleet.ZoneID]time.Time     // when zones were seen to be evacuated
 	keysNew   chan struct{}                  // closed when keys changes
@@ -106,7 +105,7 @@
 		operatorNow: make(chan struct{}, 1),
 		shared:      newSharedList(), news: make(chan struct{}), keysSent: make(map[keyspace.MapVersion]*keyspace.Map),
 		quota: quota.New(now, quota.Config(cfg.Quota)), lone: quota.New(now, quota.Config(cfg.Quota)),
-		home: quota.NewHome(quota.Config(cfg.Quota)), homes: make(map[fleet.AccountID][]peer), homesDown: make(map[fleet.InstanceID]time.Time),
+		home: quota.NewHome(quota.Config(cfg.Quota)), homes: make(map[fleet.AccountID][]fleet.Peer), homesDown: make(map[fleet.InstanceID]time.Time),
 		budgets: make(map[fleet.ServiceID]*balance.Budget), keysNew: make(chan struct{}),
 		asked: make(map[fleet.ServiceID][]keyspace.Key), leaves: make(map[fleet.UpstreamID]time.Time),
 		evacuates: make(map[fleet.ZoneID]time.Time),
@@ -286,26 +285,25 @@
 // instanceCount returns the number of instances that share bounds. The caller holds
 // mu.
 func (r *Router) instanceCount() int {
-	if r.fleetSize == 0 {
+	if len(r.instances) == 0 {
 		return unknownInstances
 	}
-	return r.fleetSize
+	return len(r.instances)
 }
 
-// setInstances takes over the instances that the leader knows, unless there are none,
-// and the size of the fleet, unless it is 0.
-func (r *Router) setInstances(known []peer, size int) {
+// setInstances takes over the instances that share bounds, unless there are none.
+func (r *Router) setInstances(known []fleet.Peer) {
+	if len(known) == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if size > 0 && size != r.fleetSize {
-		r.log.Info("size of the fleet", "instances", size, "before", r.fleetSize)
-		r.fleetSize = size
-	}
-	if len(known) > 0 {
-		r.instances = known
-		clear(r.homes)
-		r.upstreams.SetInstances(ids(known))
+	if before := len(r.instances); before != len(known) {
+		r.log.Info("size of the fleet", "instances", len(known), "before", before)
 	}
+	r.instances = known
+	clear(r.homes)
+	r.upstreams.SetInstances(ids(known))
 }
 
 // storeAnswered notes the outcome of a call to the store, and logs when the store
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -246,8 +246,8 @@
 type Owner struct {
 	timing    Timing
 	term      uint64
-	instances int       // of the fleet, as recorded
-	settled   time.Time // from then on no call of an earlier leader is on its way
+	instances []fleet.Peer // of the fleet
+	settled   time.Time    // from then on no call of an earlier leader is on its way
 	seq       uint64
 	nextFence fleet.Fence
 	services  map[fleet.ServiceID]*service
@@ -278,10 +278,11 @@
 	return o
 }
 
-// SetInstances records the number of instances of the fleet.
-func (o *Owner) SetInstances(n int) {
-	o.dirty = o.dirty || n != o.instances
-	o.instances = n
+// SetInstances tells the instances of the fleet, which the next record lists. If now
+// is set, there is one at once.
+func (o *Owner) SetInstances(list []fleet.Peer, now bool) {
+	o.instances = list
+	o.dirty = o.dirty || now
 }
 
 func (o *Owner) latestHold(now time.Time) time.Time {
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -10,9 +10,9 @@
 )
 
 // Record is what a leader stores, so that the next one knows who may hold what, and
-// a starting instance how many others share limits with it.
+// a starting instance which others share limits with it.
 type Record struct {
-	Instances int // of the fleet; 0 is unknown
+	Instances []fleet.Peer // of the fleet; none if they are unknown
 	NextFence fleet.Fence
 	Services  map[fleet.ServiceID][]RecordPiece
 }
@@ -65,8 +65,8 @@
 func (r Record) Encode() []byte {
 	var e jx.Encoder
 	e.ObjStart()
-	e.FieldStart("instances")
-	e.Int(r.Instances)
+	e.FieldStart("peers")
+	fleet.EncodePeers(&e, r.Instances)
 	e.FieldStart("next-fence")
 	e.UInt64(uint64(r.NextFence))
 	e.FieldStart("services")
@@ -111,9 +111,9 @@
 	r := Record{Services: make(map[fleet.ServiceID][]RecordPiece)}
 	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, field string) error {
 		switch field {
-		case "instances":
-			n, err := d.Int()
-			r.Instances = n
+		case "peers":
+			peers, err := fleet.DecodePeers(d)
+			r.Instances = peers
 			return err
 		case "next-fence":
 			n, err := d.UInt64()
