direct: serve with the recorded holders of keys after a restart; await the configuration

Ruled out: holders without keys; their grants last 2.5 s. Change: an instance that starts takes the holders from the record, which it reads anyway, as a map that is older than every leader's; a request waits up to 0.4 s for the first configuration. Tests: TestRecordedHoldersServe, TestRequestAwaitsConfiguration.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -64,11 +64,12 @@
 	return false
 }
 
-// recallInstances reads which instances there were, before any request can be
+// recall reads which instances there were, before any request can be
 // admitted. An instance that took the fleet for smaller than it is would admit more
 // than its part of each limit until the leader tells, and one that knows no homes of
-// accounts would refuse nearly all of their requests.
-func (r *Router) recallInstances(ctx context.Context) {
+// accounts would refuse nearly all of their requests. The recorded holders of keys
+// serve until the leader's map is there, since grants outlast an election.
+func (r *Router) recall(ctx context.Context) {
 	pause := storePause
 	for ctx.Err() == nil {
 		rec, _, err := r.readRecord(ctx)
@@ -80,9 +81,12 @@
 			if !told {
 				r.setInstances(rec.Instances)
 			}
+			if len(rec.Services) > 0 {
+				r.setKeys(rec.Map())
+			}
 			return
 		}
-		r.log.Debug("instances not read", "error", err)
+		r.log.Debug("ownership record not read", "error", err)
 		sleep(ctx, pause)
 		pause = min(2*pause, maxStorePause)
 	}
@@ -93,7 +97,7 @@
 	if r.cfg.FirstStart { // nothing is recorded, and the leader tells all
 		r.awaitLeader(ctx, func() bool { return r.operator.Load() != nil })
 	} else {
-		r.recallInstances(ctx)
+		r.recall(ctx)
 	}
 	known := false
 	pause := storePause
@@ -144,6 +148,9 @@
 		next.Table, next.Source = cur.Table, cur.Source // a configuration is never reverted
 	}
 	r.operator.Store(&next)
+	if next.Table != nil && (cur == nil || cur.Table == nil) {
+		close(r.configured)
+	}
 	r.operatorChecked = later(r.operatorChecked, now)
 	if cur.Tag() != next.Tag() {
 		r.operatorSeq++
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -111,7 +111,7 @@
 func TestHomesAreKnownAfterRestart(t *testing.T) {
 	r, _ := newRouter(t, "i000")
 	r.out.Store = recordStore{record: keyspace.Record{Instances: peersNamed(60)}}
-	r.recallInstances(t.Context())
+	r.recall(t.Context())
 	want := rendezvous("small", peersNamed(60), homesTried)
 	if diff := cmp.Diff(want, r.homesOf(time.Now(), "small")); diff != "" {
 		t.Error(diff)
@@ -120,3 +120,44 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against instances that start again together and serve no keys until a
+// leader is elected, although their holders have been granted them for longer; and
+// against a recorded map that changes are told against.
+func TestRecordedHoldersServe(t *testing.T) {
+	r, _ := newRouter(t, "i1")
+	r.out.Store = recordStore{record: keyspace.Record{Services: map[fleet.ServiceID][]keyspace.RecordPiece{"s": {
+		{Span: keyspace.Span{From: 0, To: 99}, Holder: "u1"}, {Span: keyspace.Span{From: 100, To: 65535}, Holder: "u2", Moving: true},
+	}}}}
+	r.recall(t.Context())
+	m := r.keys.Load()
+	if m == nil {
+		t.Fatal("no map")
+	}
+	if diff := cmp.Diff([]fleet.UpstreamID{"u1", ""}, []fleet.UpstreamID{m.Holder("s", 7), m.Holder("s", 100)}); diff != "" {
+		t.Error(diff)
+	}
+	r.setKeys(&keyspace.Map{Version: keyspace.MapVersion{Term: 1, Seq: 1}})
+	if len(r.keysSent) > 0 {
+		t.Error("changes are told against a recorded map")
+	}
+	r.recall(t.Context())
+	if diff := cmp.Diff(uint64(1), r.keys.Load().Version.Term); diff != "" {
+		t.Error("the recorded map replaced the leader's:", diff)
+	}
+}
+
+// Guards against requests that are refused by an instance that will know its
+// configuration a moment later, and against ones that wait without end.
+func TestRequestAwaitsConfiguration(t *testing.T) {
+	r, _ := newRouter(t, "i1")
+	if r.awaitConfiguration(t.Context()) {
+		t.Error("there is no configuration")
+	}
+	done := make(chan bool)
+	go func() { done <- r.awaitConfiguration(t.Context()) }()
+	r.setOperator(time.Now(), Operator{Table: routes.NewTable(1, nil, nil, nil, nil)})
+	if !<-done {
+		t.Error("the request did not wait")
+	}
+}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -53,6 +53,7 @@
 	keys     atomic.Pointer[keyspace.Map]
 
 	operatorNow chan struct{} // asks for the operators' wishes
+	configured  chan struct{} // closed once there is a configuration
 
 	mu           sync.Mutex // guards what follows
 	rng          *rand.Rand
@@ -102,8 +103,8 @@
 		cfg: cfg, settingsRead: cfg, out: out, log: log, metrics: m,
 		boot:        fleet.BootID(strconv.FormatInt(now.UnixMilli(), 36)),
 		peers:       http1.NewTransport(http1.TransportConfig{DialTimeout: peerDialTimeout, IdleTimeout: peerIdle, MaxBody: maxPeerBody, MaxIdle: 2, AllSilent: true}),
-		operatorNow: make(chan struct{}, 1),
-		shared:      newSharedList(), news: make(chan struct{}), keysSent: make(map[keyspace.MapVersion]*keyspace.Map),
+		operatorNow: make(chan struct{}, 1), configured: make(chan struct{}),
+		shared: newSharedList(), news: make(chan struct{}), keysSent: make(map[keyspace.MapVersion]*keyspace.Map),
 		quota: quota.New(now, quota.Config(cfg.Quota)), lone: quota.New(now, quota.Config(cfg.Quota)),
 		home: quota.NewHome(quota.Config(cfg.Quota)), homes: make(map[fleet.AccountID][]fleet.Peer), homesDown: make(map[fleet.InstanceID]time.Time),
 		budgets: make(map[fleet.ServiceID]*balance.Budget), keysNew: make(chan struct{}),
@@ -235,7 +236,7 @@
 	if cur != nil && !cur.Version.Less(m.Version) {
 		return
 	}
-	if cur != nil {
+	if cur != nil && cur.Version.Term > 0 { // else it is a recorded one, which others know differently
 		if len(r.keysSent) >= maxKeysSent {
 			clear(r.keysSent)
 		}
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -21,6 +21,10 @@
 	maxRetryQuota = 2 * time.Second
 )
 
+// configurationWait is how long a request waits at an instance that has just started
+// and knows no configuration yet; it reads one within 200 ms if the store answers.
+const configurationWait = 400 * time.Millisecond
+
 // exchange is a caller's request on its way.
 type exchange struct {
 	method, target, host string
@@ -105,11 +109,10 @@
 // admit finds the route, the account and the service of a request, and checks the
 // account's limit.
 func (r *Router) admit(ctx context.Context, x *exchange) (outcome, bool) {
-	op := r.operator.Load()
-	if op == nil || op.Table == nil {
+	if !r.awaitConfiguration(ctx) {
 		return refuse(http.StatusServiceUnavailable, "no-configuration", retryNotReady), false
 	}
-	x.table = op.Table
+	x.table = r.operator.Load().Table
 	path, _, _ := strings.Cut(x.target, "?")
 	if x.route = x.table.Match(x.host, path); x.route == nil {
 		return refuse(http.StatusNotFound, "no-route", 0), false
@@ -133,6 +136,25 @@
 	return outcome{}, true
 }
 
+// awaitConfiguration waits for the first configuration, and reports whether there is
+// one.
+func (r *Router) awaitConfiguration(ctx context.Context) bool {
+	select {
+	case <-r.configured:
+		return true
+	default:
+	}
+	t := time.NewTimer(configurationWait)
+	defer t.Stop()
+	select {
+	case <-r.configured:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (r *Router) logRequest(x *exchange, out outcome) {
 	took := time.Since(x.began)
 	r.mu.Lock()
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -61,6 +61,24 @@
 	return rec, stored, true
 }
 
+// Map returns the holders as they are recorded. Its term is 0, so that it is older
+// than every leader's map.
+func (r Record) Map() *Map {
+	m := &Map{Version: MapVersion{Seq: 1}, Services: make(map[fleet.ServiceID][]Held)}
+	for id, pieces := range r.Services {
+		var spans []Held
+		for _, p := range pieces {
+			h := Held{Span: p.Span}
+			if !p.Moving {
+				h.Holder = p.Holder
+			}
+			spans = appendHeld(spans, h)
+		}
+		m.Services[id] = spans
+	}
+	return m
+}
+
 // Encode returns the stored form.
 func (r Record) Encode() []byte {
 	var e jx.Encoder
