quota: homes count limits up to three requests a second for each instance

Change: limits are divided from 3 requests/s for each instance; a home that starts also admits its part of the tolerated requests at once: with 0.4 s of the rate and a burst before, that stays within a tenth of the limit and the tolerated requests.

--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -10,8 +10,8 @@
 	// dividedRate is the least part of a limit, in requests a second for each instance,
 	// that is divided among instances. Of a smaller one an instance would refuse
 	// requests that arrive close together while the others leave their parts unused:
-	// one in seven with parts of 0.4 a second.
-	dividedRate = 2.0
+	// one in seven with parts of 0.4 a second, one in 20 with parts of 2.
+	dividedRate = 3.0
 	// homeSlack is the part of the tolerated requests that a home uses. It counts
 	// exactly; the rest is left for the time in which two instances take themselves for
 	// the home.
@@ -51,7 +51,7 @@
 	depth := max(1, float64(limit.Burst)+h.cfg.Slack*homeSlack)
 	p := h.accounts[id]
 	if p == nil {
-		p = &pool{tokens: max(1, rate*startTime.Seconds()), filled: now}
+		p = &pool{tokens: max(1, rate*startTime.Seconds()+h.cfg.Slack*homeSlack), filled: now}
 		h.accounts[id] = p
 	}
 	p.tokens = min(p.tokens+rate*max(0, now.Sub(p.filled).Seconds()), depth)
