balance, keyspace: a build that chooses at random, to compare with

With the tag baseline, upstreams are chosen at random and keys do not move by load. The tests of choice and of moves fail with the tag: TestChoosePrefersSoundUpstreams, TestBusyKeysAreDivided, TestHotKeyGoesToFastUpstream, TestMovesGrowWithUpstreams.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -290,6 +290,9 @@
 // cost estimates the time to an answer in seconds, with prices for failures and
 // for other zones.
 func (t *Table) cost(now time.Time, e *Entry, q Query) float64 {
+	if !weighted {
+		return t.rng.Float64()
+	}
 	target := q.Target.Seconds()
 	s := t.ServiceTime(now, e)
 	if e.load.Slowdown > 1 {
--- /dev/null
+++ b/internal/balance/baseline.go
@@ -0,0 +1,5 @@
+//go:build baseline
+
+package balance
+
+const weighted = false
--- /dev/null
+++ b/internal/keyspace/baseline.go
@@ -0,0 +1,5 @@
+//go:build baseline
+
+package keyspace
+
+const evened = false
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -72,7 +72,9 @@
 		}
 		load := s.load()
 		o.replace(now, s, load)
-		o.balance(now, s, load)
+		if evened {
+			o.balance(now, s, load)
+		}
 	}
 }
 
