--- /dev/null
+++ b/internal/balance/state.go
@@ -0,0 +1,50 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+// State is what an instance thinks of an upstream, for metrics.
+type State string
+
+// The states of an upstream. One that could be in several is in the first of them.
+const (
+	StateLeaving     State = "leaving"
+	StateEvacuated   State = "evacuated"
+	StateUnreachable State = "unreachable"
+	StateCold        State = "cold"
+	StateUsable      State = "usable"
+)
+
+// States returns the number of upstreams of each service in each state, also if there
+// are none.
+func (t *Table) States(now time.Time) map[fleet.ServiceID]map[State]int {
+	out := make(map[fleet.ServiceID]map[State]int, len(t.byService))
+	for id, entries := range t.byService {
+		counts := make(map[State]int)
+		for _, s := range []State{StateLeaving, StateEvacuated, StateUnreachable, StateCold, StateUsable} {
+			counts[s] = 0
+		}
+		for _, e := range entries {
+			counts[t.state(now, e)]++
+		}
+		out[id] = counts
+	}
+	return out
+}
+
+func (t *Table) state(now time.Time, e *Entry) State {
+	switch {
+	case e.Draining:
+		return StateLeaving
+	case t.evacuated[e.Zone]:
+		return StateEvacuated
+	case now.Before(e.ejectedUntil):
+		return StateUnreachable
+	case e.Cold(now):
+		return StateCold
+	}
+	return StateUsable
+}
--- /dev/null
+++ b/internal/direct/metrics_test.go
@@ -0,0 +1,42 @@
+package direct
+
+import (
+	"net/http/httptest"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/balance"
+	"github.com/parsleyproxy/parsleyproxy/internal/routes"
+)
+
+// Guards against metrics that show old knowledge as fresh, or none as known.
+func TestKnowledgeIsShown(t *testing.T) {
+	m := NewMetrics()
+	r := New(Settings{Instance: "i1"}, Platform{}, m, hclog.NewNullLogger())
+	shown := func(pattern string) []string {
+		w := httptest.NewRecorder()
+		m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		return regexp.MustCompile("(?m)^parsleyproxy_direct_"+pattern).FindAllString(w.Body.String(), -1)
+	}
+	if got := shown(`knowledge_age_seconds.*`); len(got) > 0 {
+		t.Errorf("ages of what is not known: %q", got)
+	}
+	now := time.Now()
+	r.setOperator(now, Operator{Table: routes.NewTable(7, nil, nil, nil, nil)})
+	r.setInstances(peersNamed(3))
+	r.setUpstreams(now, now.Add(-time.Minute), []balance.Registration{
+		{ID: "a", Service: "s", Draining: true}, {ID: "b", Service: "s", ColdLeft: time.Hour}, {ID: "c", Service: "s"},
+	})
+	for _, want := range []string{
+		`configuration_version 7`, `instances 3`, `leading 0`, `knowledge_age_seconds{of="upstreams"} 60`,
+		`upstreams{service="s",state="cold"} 1`, `upstreams{service="s",state="leaving"} 1`, `upstreams{service="s",state="usable"} 1`,
+	} {
+		if diff := cmp.Diff(1, len(shown(regexp.QuoteMeta(want)))); diff != "" {
+			t.Errorf("%s: %s", want, diff)
+		}
+	}
+}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -113,6 +113,7 @@
 		rng:       rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 	}
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.coldBound)
+	m.observe = r.observeKnowledge
 	return r
 }
 
