--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -15,7 +15,7 @@
 	// leastMoves is the number of pieces of a service that may move for the sake of
 	// balance at the same time; with many upstreams it is one for upstreamsPerMove of
 	// them. A move takes about a second, and with 6 at a time 25 of 132 upstreams were
-	// overloaded for 8 s on end.
+	// overloaded for 6 s on end.
 	leastMoves       = 6
 	upstreamsPerMove = 3
 	// busyEnough is the utilisation below which an upstream keeps its keys: each move
