--- a/internal/standin/lab/binaries.go
+++ b/internal/standin/lab/binaries.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 
 	"github.com/go-faster/errors"
 )
@@ -62,19 +63,34 @@
 	lastPort  = 32000
 )
 
-// freeAddrs returns n loopback addresses whose ports are free.
+// taken holds the ports that this process has chosen. Whoever gets one binds it
+// later, so that it still looks free for a while.
+var taken = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: make(map[int]bool)}
+
+// freeAddrs returns n loopback addresses whose ports are free and have not been
+// returned before.
 func freeAddrs(n int) ([]string, error) {
+	taken.Lock()
+	defer taken.Unlock()
 	out := make([]string, 0, n)
 	for tries := 0; len(out) < n; tries++ {
 		if tries > 100*n {
 			return nil, errors.Errorf("found only %d of %d free ports", len(out), n)
 		}
-		addr := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort))
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if taken.ports[port] {
+			continue
+		}
+		addr := "127.0.0.1:" + strconv.Itoa(port)
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
 		}
-		defer func() { _ = ln.Close() }() // all stay open until the end, so that none is chosen twice
+		_ = ln.Close()
+		taken.ports[port] = true
 		out = append(out, addr)
 	}
 	return out, nil
--- a/internal/standin/lab/fleet.go
+++ b/internal/standin/lab/fleet.go
@@ -205,7 +205,7 @@
 	case addr := <-p.listening:
 		return addr, nil
 	case <-p.done:
-		return "", errors.Errorf("%s ended before it listened: %v; see its log", p.Name, p.err)
+		return "", errors.Errorf("%s ended before it listened: %v; its log ends with:\n%s", p.Name, p.err, p.logEnd())
 	case <-ctx.Done():
 		return "", errors.Wrapf(ctx.Err(), "wait until %s listens", p.Name)
 	}
--- a/internal/standin/lab/process.go
+++ b/internal/standin/lab/process.go
@@ -19,6 +19,7 @@
 	Name string
 
 	cmd       *exec.Cmd
+	log       string        // file
 	listening chan string   // the address that it prints
 	done      chan struct{} // closed when it has ended
 	err       error         // how it ended; read after done
@@ -41,7 +42,8 @@
 
 // start starts a process whose output goes to NAME.log in dir.
 func start(dir string, s spec) (*Process, error) {
-	log, err := os.OpenFile(filepath.Join(dir, s.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	file := filepath.Join(dir, s.name+".log")
+	log, err := os.OpenFile(file, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, errors.Wrap(err, "open log")
 	}
@@ -58,7 +60,7 @@
 		_ = log.Close()
 		return nil, errors.Wrapf(err, "start %s", s.name)
 	}
-	p := &Process{Name: s.name, cmd: cmd, listening: make(chan string, 1), done: make(chan struct{})}
+	p := &Process{Name: s.name, cmd: cmd, log: file, listening: make(chan string, 1), done: make(chan struct{})}
 	go p.follow(stdout, log)
 	return p, nil
 }
@@ -105,6 +107,18 @@
 	return p.output.String()
 }
 
+// shownLog bounds what logEnd returns, in bytes.
+const shownLog = 2000
+
+// logEnd returns the end of the log for an error, because tests remove the file.
+func (p *Process) logEnd() string {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-shownLog):])
+}
+
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
