http1: a new connection that is reset at once counts as turned away, before the request is written

Cause: an upstream with too many connections, or a long queue, accepts a connection and resets it. A new connection is now used once it has stayed open for 1.5 round trips and 1 ms; one that is reset before counts as a full upstream: refused as not run at once, or sent to another.

Instances and the leader tell each other the demand of accounts once per pace, not with each report that a change of the map cuts short; the leader adds it up with each plan, not with each report. An instance's part follows by time, not by the number of replies.

--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -58,9 +58,9 @@
 func runFront(ctx context.Context, path string, cfg direct.Settings, level hclog.Level) error {
 	metrics := direct.NewMetrics()
 	log := hclog.New(&hclog.LoggerOptions{Level: level, Output: logs.NewWriter(os.Stdout, metrics.LogDropped), JSONFormat: true})
-	toUpstreams := http1.TransportConfig{DialTimeout: frontDialTimeout, IdleTimeout: frontIdleTimeout, MaxBody: frontMaxAnswer, MaxIdle: frontMaxIdle}
+	toUpstreams := http1.TransportConfig{DialTimeout: frontDialTimeout, IdleTimeout: frontIdleTimeout, MaxBody: frontMaxAnswer, MaxIdle: frontMaxIdle, TurnsAway: true}
 	toStore := toUpstreams
-	toStore.AllSilent = true
+	toStore.AllSilent, toStore.TurnsAway = true, false
 	out := direct.Platform{
 		Store: platform.NewStore(cfg.Store, http1.NewTransport(toStore), metrics.StoreCall), Holders: platform.Holders{Client: http1.NewTransport(toUpstreams)},
 		Protocol: platform.Protocol{}, Upstream: http1.NewTransport(toUpstreams), Configuration: platform.DecodeConfig, Settings: func() (direct.Settings, error) { return platform.ReadSettings(path) },
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -83,6 +83,8 @@
 	switch {
 	case a.err != nil && errors.Is(ctx.Err(), context.Canceled):
 		return balance.Abandoned
+	case errors.Is(a.err, http1.ErrTurnedAway):
+		return balance.Full
 	case errors.As(a.err, &notSent):
 		return balance.Unreachable
 	case a.err != nil:
@@ -287,6 +289,8 @@
 	var notSent *http1.NotSentError
 	again := false
 	switch {
+	case errors.Is(a.err, http1.ErrTurnedAway):
+		return refuse(http.StatusServiceUnavailable, "holder-full", retryFull), true
 	case errors.As(a.err, &notSent):
 		x.sends--
 		again = true
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -206,6 +206,7 @@
 		l.planDue = now.Add(planEvery)
 		r.takeReport(now, l, r.ownReport(now))
 		r.updateMembers(now, l)
+		r.sumDemand(now, l)
 		r.setCandidates(now, l)
 		if sure {
 			l.owner.Plan(now)
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -13,6 +13,9 @@
 )
 
 func encodeDemand(e *jx.Encoder, demand map[fleet.AccountID]float64) {
+	if demand == nil {
+		return
+	}
 	e.FieldStart("demand")
 	e.ObjStart()
 	for id, d := range demand {
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -25,6 +25,10 @@
 	reportWait    = 300 * time.Millisecond
 	maxReportWait = 700 * time.Millisecond
 	paceInstances = 12
+	// demandPace is the part of the pace within which demand is told once. Reports that
+	// news have cut short follow each other within some 100 ms, and demand would be
+	// most of what they and their replies carry.
+	demandPace = 0.9
 	// replyMargin is how much longer than that a reply may take before it is given up,
 	// and silenceMargin before the instance looks for another leader.
 	replyMargin     = 400 * time.Millisecond
@@ -57,7 +61,7 @@
 	Addr        string              // where other instances reach it
 	Version     keyspace.MapVersion // of its map
 	Keys        map[fleet.ServiceID][]keyspace.Key
-	Demand      map[fleet.AccountID]float64
+	Demand      map[fleet.AccountID]float64          // nil if it was told within the pace
 	Speeds      map[fleet.UpstreamID]balance.Samples // of sharded services
 	StoreAge    time.Duration
 	Instances   uint64 // fingerprint of those that it knows
@@ -76,7 +80,7 @@
 	Whole     bool
 	Held      map[fleet.ServiceID][]keyspace.Held
 	Instances []fleet.Peer                // empty if they have not changed
-	Demand    map[fleet.AccountID]float64 // of all instances
+	Demand    map[fleet.AccountID]float64 // of all instances; nil if it was told within the pace
 	List      listDelta
 	// The operators' wishes as the leader knows them, and the time since it was told
 	// that they have not changed.
@@ -93,9 +97,12 @@
 func (r *Router) ownReport(now time.Time) report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rep := report{Instance: r.cfg.Instance, Addr: r.cfg.PeerListen, Keys: r.asked, Demand: r.quota.Demand(now), StoreAge: r.storeAge(now)}
+	rep := report{Instance: r.cfg.Instance, Addr: r.cfg.PeerListen, Keys: r.asked, StoreAge: r.storeAge(now)}
 	r.asked = make(map[fleet.ServiceID][]keyspace.Key)
-	r.ownDemand = rep.Demand
+	if now.Sub(r.demandReported) >= time.Duration(demandPace*float64(pace(len(r.instances)))) {
+		rep.Demand, r.demandReported = r.quota.Demand(now), now
+		r.ownDemand = rep.Demand
+	}
 	op := r.operator.Load()
 	rep.Speeds = r.upstreams.TakeSamples(func(id fleet.ServiceID) bool {
 		return op != nil && op.Table != nil && op.Table.Services[id].Sharded
@@ -175,7 +182,7 @@
 	r.setInstances(rp.Instances)
 	r.mu.Lock()
 	r.leader.heard = now
-	r.quota.Learn(now, rp.Demand, rep.Demand, r.instanceCount())
+	r.quota.Learn(now, rp.Demand, r.ownDemand, r.instanceCount())
 	changed := rp.List.Seq != rep.ListSeq || rp.Term != rep.ListTerm
 	var list []balance.Registration
 	if changed {
@@ -315,7 +322,9 @@
 	if rep.Instances != fingerprint(r.instances) {
 		rp.Instances = r.instances
 	}
-	rp.Demand = r.totalDemand
+	if rep.Demand != nil {
+		rp.Demand = r.totalDemand // told as often as it is reported
+	}
 	rp.OperatorAge = now.Sub(r.operatorChecked)
 	if rep.ListTerm != l.term {
 		rep.ListSeq = 0
@@ -327,7 +336,11 @@
 
 // takeReport adds a report to what the leader knows.
 func (r *Router) takeReport(now time.Time, l *leadership, rep report) {
-	l.members[rep.Instance] = member{addr: rep.Addr, heard: now, demand: rep.Demand, storeAge: rep.StoreAge}
+	demand := rep.Demand
+	if demand == nil {
+		demand = l.members[rep.Instance].demand
+	}
+	l.members[rep.Instance] = member{addr: rep.Addr, heard: now, demand: demand, storeAge: rep.StoreAge}
 	for id, keys := range rep.Keys {
 		h := l.owner.Heat(id)
 		if h == nil {
@@ -337,12 +350,6 @@
 			h.Add(k)
 		}
 	}
-	total := make(map[fleet.AccountID]float64)
-	for _, m := range l.members {
-		for id, d := range m.demand {
-			total[id] += d
-		}
-	}
 	r.mu.Lock()
 	if rep.Instance != r.cfg.Instance {
 		for id, s := range rep.Speeds {
@@ -352,7 +359,20 @@
 	for id, s := range rep.Speeds {
 		r.upstreams.CountAnswers(now, id, s)
 	}
+	r.mu.Unlock()
+}
+
+// sumDemand adds up what the instances have reported. With each report it would take
+// a leader of 300 most of its time.
+func (r *Router) sumDemand(now time.Time, l *leadership) {
+	total := make(map[fleet.AccountID]float64)
+	for _, m := range l.members {
+		for id, d := range m.demand {
+			total[id] += d
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.totalDemand = total
 	r.quota.Learn(now, total, r.ownDemand, r.instanceCount())
-	r.mu.Unlock()
 }
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -80,12 +80,14 @@
 	outageEnded     time.Time // the end of the last outage that this instance saw
 
 	// What is reported to the leader, and what it told.
-	leader       leaderInfo
-	asked        map[fleet.ServiceID][]keyspace.Key // since the last report
-	ownDemand    map[fleet.AccountID]float64        // of the last report
-	followed     followedList
-	ownList      bool   // the list was read from the store, not told by the leader
-	operatorTold uint64 // the last change of the operators' wishes that it told
+	leader    leaderInfo
+	asked     map[fleet.ServiceID][]keyspace.Key // since the last report
+	ownDemand map[fleet.AccountID]float64        // as it was reported last
+	// demandReported is when that was.
+	demandReported time.Time
+	followed       followedList
+	ownList        bool   // the list was read from the store, not told by the leader
+	operatorTold   uint64 // the last change of the operators' wishes that it told
 
 	// What replies are made of, if this instance leads.
 	leadership  *leadership // nil unless this instance leads
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,11 @@
 	IdleTimeout time.Duration // a connection that was idle for longer is not used
 	MaxBody     int64         // bytes of an answer
 	MaxIdle     int           // connections kept for each address
+	// TurnsAway is set for peers that accept a connection and reset it at once when they
+	// have too many. A request that is written before the reset arrives may have run as
+	// far as the caller knows, so a new connection is used only once that would have
+	// happened.
+	TurnsAway bool
 	// AllSilent closes every idle connection to an address that did not answer on one:
 	// the others may be silent too. It suits an address that answers at once.
 	AllSilent bool
@@ -42,6 +48,18 @@
 // connection, so that a request does not cross the peer's close.
 const keepAliveMargin = 1500 * time.Millisecond
 
+// ErrTurnedAway reports a peer that closed a new connection at once.
+var ErrTurnedAway = errors.New("connection closed by the peer right after it was opened")
+
+const (
+	// turnAwayTrips is the time, in round trips, in which the reset of a new connection
+	// arrives, and turnAwayMargin what the peer takes besides.
+	turnAwayTrips  = 1.5
+	turnAwayMargin = time.Millisecond
+	// maxTurnAway bounds it where opening took long for another reason.
+	maxTurnAway = 10 * time.Millisecond
+)
+
 // ErrBodyTooLarge reports an answer above TransportConfig.MaxBody.
 var ErrBodyTooLarge = errors.New("answer exceeds the maximum body size")
 
@@ -155,9 +173,29 @@
 	if err != nil {
 		return nil, false, err
 	}
+	if t.cfg.TurnsAway {
+		trip := time.Since(now)
+		if !staysOpen(conn, min(time.Duration(turnAwayTrips*float64(trip))+turnAwayMargin, maxTurnAway)) {
+			_ = conn.Close()
+			return nil, false, ErrTurnedAway
+		}
+	}
 	return &link{conn: conn, reader: bufio.NewReaderSize(conn, 2<<10)}, false, nil
 }
 
+// staysOpen reports whether the peer neither closes the new connection nor sends
+// anything on it for d.
+func staysOpen(conn net.Conn, d time.Duration) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return false
+	}
+	var b [1]byte
+	if _, err := conn.Read(b[:]); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	return conn.SetReadDeadline(time.Time{}) == nil
+}
+
 func (t *Transport) pop(addr string) *link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -25,10 +25,10 @@
 const (
 	// demandHalfLife is the time over which an instance averages an account's demand.
 	demandHalfLife = 1 * time.Second
-	// shareWeight is the weight of one reply of the leader in an instance's part of
-	// the demand: the part follows callers within a few seconds, and does not follow
-	// the noise of an account with few requests.
-	shareWeight = 0.1
+	// shareHalfLife is the time in which an instance's part of the demand goes half of
+	// the way to what was measured: it follows callers within a few seconds, and does
+	// not follow the noise of an account with few requests.
+	shareHalfLife = 1500 * time.Millisecond
 	// minShare is the least part of a limit, relative to an even one. It serves
 	// callers that turn to another instance.
 	minShare = 0.1
@@ -64,9 +64,10 @@
 	limit  fleet.Limit
 	tokens float64
 	filled time.Time
-	demand float64 // requests per second
-	others float64 // requests per second at the other instances
-	part   float64 // of the demand of all instances; even at first, 0 until it is known
+	demand float64   // requests per second
+	others float64   // requests per second at the other instances
+	part   float64   // of the demand of all instances; even at first, 0 until it is known
+	parted time.Time // when part was measured last
 }
 
 // New returns a table without buckets. What an earlier run of the instance has
@@ -159,8 +160,9 @@
 			continue
 		}
 		if b.part == 0 {
-			b.part = 1 / float64(max(instances, 1))
+			b.part, b.parted = 1/float64(max(instances, 1)), now
 		}
-		b.part = b.part*(1-shareWeight) + min(1, own[id]/sum)*shareWeight
+		kept := math.Exp2(-min(now.Sub(b.parted), shareHalfLife).Seconds() / shareHalfLife.Seconds())
+		b.part, b.parted = b.part*kept+min(1, own[id]/sum)*(1-kept), now
 	}
 }
