keyspace: divide keys once upstreams have stopped registering

Cause: the first division came 1.2 s after the first upstream was listed. The leader now divides 1.2 s after the last new upstream, or 4 s after the first.

TestDividesAmongAll failed before.

--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -237,7 +237,8 @@
 	pieces    []*piece // in order of keys, without gaps
 	upstreams map[fleet.UpstreamID]Upstream
 	order     []fleet.UpstreamID // ids of upstreams, sorted
-	since     time.Time          // when the candidates were first seen
+	first     time.Time          // when a candidate was first seen
+	latest    time.Time          // when a new one was seen last
 	decayed   time.Time          // when the heat faded last
 	heat      *Heat
 }
@@ -264,7 +265,7 @@
 	latest := o.latestHold(now.Add(staleLeader))
 	o.settled = latest
 	for id, pieces := range rec.Services {
-		s := &service{id: id, heat: NewHeat(), since: now}
+		s := &service{id: id, heat: NewHeat(), first: now}
 		for _, r := range pieces {
 			p := &piece{Span: r.Span, holder: r.Holder, boot: r.Boot, fence: r.Fence, stored: true, state: held, due: now, maxHold: latest, uncertain: latest, everServed: true}
 			if r.Moving {
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// settle is how long a leader waits for further upstreams to register before it
-	// divides the keys of a service for the first time.
-	settle = 1200 * time.Millisecond
+	// settle is how long a leader waits for a further upstream to register before it
+	// divides the keys of a service for the first time, and maxSettle how long it waits
+	// for all of them: they register over a heartbeat, and one that comes later gets
+	// keys only once others have load.
+	settle    = 1200 * time.Millisecond
+	maxSettle = 4 * time.Second
 	// leastMoves is the number of pieces of a service that may move for the sake of
 	// balance at the same time; with many upstreams it is one for upstreamsPerMove of
 	// them. A move takes about a second, and with 6 at a time 25 of 132 upstreams were
@@ -46,8 +49,13 @@
 		s = &service{id: id, heat: NewHeat()}
 		o.services[id] = s
 	}
-	if s.since.IsZero() && len(list) > 0 {
-		s.since = now
+	if s.first.IsZero() && len(list) > 0 {
+		s.first = now
+	}
+	for _, u := range list {
+		if _, known := s.upstreams[u.ID]; !known {
+			s.latest = now
+		}
 	}
 	s.upstreams = make(map[fleet.UpstreamID]Upstream, len(list))
 	s.order = s.order[:0]
@@ -115,7 +123,7 @@
 // divide gives each upstream a span by its capacity.
 func (o *Owner) divide(now time.Time, s *service) {
 	candidates := o.usable(now, s)
-	if len(candidates) == 0 || now.Sub(s.since) < settle {
+	if len(candidates) == 0 || now.Sub(s.latest) < settle && now.Sub(s.first) < maxSettle {
 		return
 	}
 	total := 0.0
--- a/internal/keyspace/plan_test.go
+++ b/internal/keyspace/plan_test.go
@@ -35,3 +35,31 @@
 		t.Errorf("%d pieces move at the same time, want %d", got, want)
 	}
 }
+
+// Guards against keys that are divided among the upstreams that registered first:
+// without load the others get none, and half of a fleet met the first requests.
+func TestDividesAmongAll(t *testing.T) {
+	const (
+		upstreams = 60
+		heartbeat = 2500 * time.Millisecond
+		listEvery = 500 * time.Millisecond
+	)
+	now := start
+	o, h := NewOwner(now, 1, timing, Record{}), newHolders(t)
+	var ids []fleet.UpstreamID
+	for i := range upstreams {
+		ids = append(ids, fleet.UpstreamID(fmt.Sprintf("u%02d", i)))
+	}
+	for at := listEvery; at < 6*time.Second; at += listEvery {
+		o.SetUpstreams(now, archive, ready(ids[:min(upstreams, int(upstreams*at/heartbeat))]...))
+		run(o, h, &now, listEvery)
+	}
+	m, _ := o.Map()
+	with := make(map[fleet.UpstreamID]bool)
+	for _, s := range m.Services[archive] {
+		with[s.Holder] = true
+	}
+	if len(with) != upstreams {
+		t.Errorf("%d upstreams hold keys, want %d", len(with), upstreams)
+	}
+}
