keyspace, direct: a move is recorded once; large replies between instances are compressed

The record before a move says who gets the keys; the one after it only spares the next leader a wait and is now made with the next one, or 500 ms later. TestMoveIsRecordedOnce failed before.

--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -214,7 +214,7 @@
 		}
 	}
 	if sure {
-		r.save(ctx, l)
+		r.save(ctx, now, l)
 	}
 	for _, c := range l.owner.Calls(now) {
 		r.order(ctx, l, c)
@@ -258,11 +258,11 @@
 }
 
 // save stores the record if it changed.
-func (r *Router) save(ctx context.Context, l *leadership) {
+func (r *Router) save(ctx context.Context, now time.Time, l *leadership) {
 	if l.saving {
 		return
 	}
-	rec, stored, changed := l.owner.Save()
+	rec, stored, changed := l.owner.Save(now)
 	if !changed {
 		return
 	}
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -153,7 +153,11 @@
 	if res.Status != http.StatusOK {
 		return notLeaderError{info.id}
 	}
-	rp, err := decodeReply(res.Body)
+	body, err := unpack(res)
+	if err != nil {
+		return err
+	}
+	rp, err := decodeReply(body)
 	if err != nil {
 		return err
 	}
@@ -278,7 +282,7 @@
 		t.Stop()
 	}
 	rp := r.reply(l, rep)
-	if _, err := w.Write(rp.encode()); err != nil {
+	if _, err := w.Write(pack(w.Header(), rp.encode())); err != nil {
 		r.log.Debug("reply not delivered", "instance", rep.Instance, "error", err)
 	}
 }
--- a/internal/keyspace/calls.go
+++ b/internal/keyspace/calls.go
@@ -113,7 +113,7 @@
 	p.handover, p.state, p.due, p.failures = handover, granting, now, 0
 	p.maxHold, p.uncertain, p.everServed = time.Time{}, time.Time{}, false
 	o.changed = true
-	o.dirty = true // the record need not wait for the former holder any more
+	o.outdate(now) // the next leader need not wait for the former holder any more
 }
 
 // Ended takes over the result of a call that was sent at began.
@@ -190,7 +190,7 @@
 		}
 		if !p.barred.IsZero() {
 			p.barred = time.Time{}
-			o.dirty = true
+			o.outdate(now)
 		}
 	case Conflict:
 		// The upstream has seen a higher token, which nobody but a leader hands out:
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -254,8 +254,9 @@
 	services  map[fleet.ServiceID]*service
 	contacts  map[fleet.UpstreamID]contact
 	moves     []Move
-	changed   bool // the map changed
-	dirty     bool // the record changed
+	changed   bool      // the map changed
+	dirty     bool      // the record changed, and calls wait until it is stored
+	outdated  time.Time // since when the record is more cautious than it need be
 }
 
 // NewOwner returns the state of a leader that has just taken over from the one that
--- a/internal/keyspace/keyspace_test.go
+++ b/internal/keyspace/keyspace_test.go
@@ -85,7 +85,7 @@
 	var last Record
 	for end := now.Add(d); now.Before(end); *now = now.Add(50 * time.Millisecond) {
 		o.Plan(*now)
-		if rec, stored, changed := o.Save(); changed {
+		if rec, stored, changed := o.Save(*now); changed {
 			last = rec
 			stored()
 		}
@@ -170,7 +170,7 @@
 	// The first leader plans that everything goes to b, stores it and ends.
 	o.SetUpstreams(now, archive, []Upstream{{ID: "a", Boot: "1", Capacity: 20}, {ID: "b", Boot: "1", Usable: true, Capacity: 20}})
 	o.Plan(now)
-	rec, _, changed := o.Save()
+	rec, _, changed := o.Save(now)
 	if !changed {
 		t.Fatal("no move was planned")
 	}
@@ -317,3 +317,33 @@
 		}
 	}
 }
+
+// Guards against a record for each step of a move: the one before it says who gets the
+// keys, and the one after it only spares the next leader a wait.
+func TestMoveIsRecordedOnce(t *testing.T) {
+	now := start
+	o, h := NewOwner(now, 1, timing, Record{}), newHolders(t)
+	o.SetUpstreams(now, archive, ready("a", "b"))
+	run(o, h, &now, 3*time.Second)
+	o.SetUpstreams(now, archive, ready("a"))
+	o.Plan(now)
+	records := 0
+	for end := now.Add(2 * caution); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if rec, stored, changed := o.Save(now); changed {
+			records++
+			stored()
+			if moving := rec.Services[archive][1].Moving; moving != (records == 1) {
+				t.Errorf("record %d says moving %t", records, moving)
+			}
+		}
+		for _, c := range o.Calls(now) {
+			o.Ended(now, c, h.carryOut(now, c), "warm")
+		}
+		if o.Stats().Moving == 0 && records == 1 && now.Sub(end.Add(-2*caution)) > caution+200*time.Millisecond {
+			t.Fatal("the end of the move is not recorded")
+		}
+	}
+	if records != 2 {
+		t.Errorf("%d records, want 2", records)
+	}
+}
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-faster/jx"
@@ -27,13 +28,25 @@
 	Moving bool
 }
 
+// caution is how long the record may say that the former holder of a span still holds
+// it although the next one has it. A leader elected meanwhile waits in vain; each
+// record is a priced call, and one that a move needs mostly comes before.
+const caution = 500 * time.Millisecond
+
+// outdate notes that the record is more cautious than it need be.
+func (o *Owner) outdate(now time.Time) {
+	if o.outdated.IsZero() {
+		o.outdated = now
+	}
+}
+
 // Save returns the record to store if it changed, and a function to call once it
 // is stored.
-func (o *Owner) Save() (Record, func(), bool) {
-	if !o.dirty {
+func (o *Owner) Save(now time.Time) (Record, func(), bool) {
+	if !o.dirty && (o.outdated.IsZero() || now.Sub(o.outdated) < caution) {
 		return Record{}, nil, false
 	}
-	o.dirty = false
+	o.dirty, o.outdated = false, time.Time{}
 	rec := Record{Instances: o.instances, NextFence: o.nextFence, Services: make(map[fleet.ServiceID][]RecordPiece)}
 	type version struct {
 		p     *piece
