--- a/internal/direct/elect.go
+++ b/internal/direct/elect.go
@@ -116,6 +116,9 @@
 	r.mu.Lock()
 	changed := r.leader.term != info.term
 	r.leader = info
+	if changed {
+		r.demandReported = time.Time{} // this leader has been told none
+	}
 	r.mu.Unlock()
 	if changed {
 		r.log.Info("following leader", "leader", info.id, "term", info.term)
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -147,7 +147,7 @@
 func (r *Router) lead(ctx context.Context, l *leadership) {
 	r.log.Info("leading", "term", l.term, "record-revision", l.recordRev)
 	r.mu.Lock()
-	r.leadership = l
+	r.leadership, r.totalDemand = l, nil
 	r.leader = leaderInfo{id: r.cfg.Instance, addr: r.cfg.PeerListen, term: l.term, heard: time.Now()}
 	r.mu.Unlock()
 	defer func() {
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -327,7 +327,7 @@
 		rp.Instances = r.instances
 	}
 	if rep.Demand != nil {
-		rp.Demand = r.totalDemand // told as often as it is reported
+		rp.Demand = r.totalDemand // told as often as it is reported; nil at first
 	}
 	rp.OperatorAge = now.Sub(r.operatorChecked)
 	if rep.ListTerm != l.term {
@@ -366,9 +366,26 @@
 	r.mu.Unlock()
 }
 
+// demandKnown is the part of the instances that must have reported their demand to a
+// new leader before it tells the sum.
+const demandKnown = 0.9
+
 // sumDemand adds up what the instances have reported. With each report it would take
-// a leader of 300 most of its time.
+// a leader of 300 most of its time. A sum that lacks most of them would make the
+// others take their own parts for larger than they are, and admit too much.
 func (r *Router) sumDemand(now time.Time, l *leadership) {
+	told := 0
+	for _, m := range l.members {
+		if m.demand != nil {
+			told++
+		}
+	}
+	r.mu.Lock()
+	known := float64(told) >= demandKnown*float64(len(r.instances))
+	r.mu.Unlock()
+	if !known && now.Sub(l.began) < fleetSettles {
+		return
+	}
 	total := make(map[fleet.AccountID]float64)
 	for _, m := range l.members {
 		for id, d := range m.demand {
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -179,3 +179,54 @@
 		t.Error("what could not be read is not asked of the store")
 	}
 }
+
+// Guards against demand that is told with every report, though news cut reports short
+// several times a second.
+func TestDemandIsToldOncePerPace(t *testing.T) {
+	r, _ := newRouter(t, "a")
+	now := time.Now()
+	if rep := r.ownReport(now); rep.Demand == nil {
+		t.Error("the first report has no demand")
+	}
+	if rep := r.ownReport(now.Add(reportWait / 2)); rep.Demand != nil {
+		t.Errorf("half a pace later: demand %v", rep.Demand)
+	}
+	if rep := r.ownReport(now.Add(2 * reportWait)); rep.Demand == nil {
+		t.Error("two paces later: no demand")
+	}
+	l := &leadership{members: map[fleet.InstanceID]member{"b": {demand: map[fleet.AccountID]float64{"x": 7}}}, owner: keyspace.NewOwner(now, 1, keyspace.Timing{}, keyspace.Record{})}
+	r.takeReport(now, l, report{Instance: "b"})
+	r.sumDemand(now, l)
+	if diff := cmp.Diff(map[fleet.AccountID]float64{"x": 7}, r.totalDemand); diff != "" {
+		t.Error("after a report without demand: ", diff)
+	}
+}
+
+// Guards against a new leader that tells the demand of the few instances that have
+// reported to it as that of all: each of them takes nearly the whole limit for itself.
+func TestDemandOfAFewIsNotTold(t *testing.T) {
+	now := time.Now()
+	r, _ := newRouter(t, "a")
+	var all []fleet.Peer
+	for i := range 10 {
+		all = append(all, fleet.Peer{ID: fleet.InstanceID(fmt.Sprint("i", i))})
+	}
+	r.setInstances(all)
+	l := &leadership{term: 2, began: now, members: make(map[fleet.InstanceID]member), owner: keyspace.NewOwner(now, 1, keyspace.Timing{}, keyspace.Record{})}
+	for i, p := range all {
+		rep := report{Instance: p.ID, Demand: map[fleet.AccountID]float64{"x": 5}}
+		r.takeReport(now, l, rep)
+		r.sumDemand(now, l)
+		told, want := r.reply(l, rep).Demand["x"], 0.0
+		if i >= 8 {
+			want = 5 * float64(i+1)
+		}
+		if told != want {
+			t.Errorf("%d of 10 have reported: %v are told, want %v", i+1, told, want)
+		}
+	}
+	r.setLeader(leaderInfo{id: "c", term: 3})
+	if rep := r.ownReport(now); rep.Demand == nil {
+		t.Error("the first report to another leader has no demand")
+	}
+}
