--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -124,6 +124,7 @@
 			known = false
 			sleep(ctx, pause)
 			pause = min(2*pause, maxStorePause)
+			r.awaitOperatorTurn(ctx) // the leader may tell them meanwhile
 			continue
 		}
 		pause = storePause
@@ -205,6 +206,7 @@
 			r.log.Debug("upstreams not listed", "error", err, "after", time.Since(asked))
 			sleep(ctx, pause)
 			pause = min(2*pause, maxStorePause)
+			r.awaitListTurn(ctx) // the leader may tell it meanwhile
 			continue
 		}
 		pause = storePause
