direct: an outage of the store ends with the leader's next list, not with an instance's own next call

Two instances that were cut off at 2 s asked the store again at 23 s, took that for the end of an outage of 21 s, and kept an upstream that had left meanwhile for the 2.2 s in which lapsed registrations may come back. Ruled out: a late list (the instances had read one 450 ms after the upstream left). The end of an outage is now the first list that the leader told after the failure.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -259,7 +259,7 @@
 		list = r.upstreams.KeepMissing(list)
 	}
 	changes := r.upstreams.Replace(now, list)
-	r.listed = asked
+	r.setListed(asked)
 	if r.shared.update(now, list) {
 		r.announce()
 	}
--- a/internal/direct/follow_test.go
+++ b/internal/direct/follow_test.go
@@ -52,3 +52,30 @@
 		t.Errorf("%d calls of the store, want 1 at most", got)
 	}
 }
+
+// Guards against an upstream that is kept after it has left, because an instance that
+// rested on its leader takes its first call in a long time for the end of an outage.
+func TestOutageEndsWithLeadersList(t *testing.T) {
+	began := time.Now()
+	for name, c := range map[string]struct {
+		toldAfter time.Duration // the failure; 0: never
+		want      bool
+	}{
+		"the leader went on telling": {toldAfter: time.Second, want: false},
+		"nobody reached the store":   {want: true},
+	} {
+		r, _ := newRouter(t, "a")
+		r.setUpstreams(began, began, []balance.Registration{{ID: "u", Service: "s", Slots: 1}})
+		r.storeAnswered(began, ErrRefused)
+		if c.toldAfter > 0 {
+			at := began.Add(c.toldAfter)
+			r.setUpstreams(at, at, []balance.Registration{{ID: "u", Service: "s", Slots: 1}})
+		}
+		back := began.Add(20 * time.Second)
+		r.storeAnswered(back, nil)
+		r.setUpstreams(back, back, nil)
+		if got := r.upstreams.Get("u") != nil; got != c.want {
+			t.Errorf("%s: the upstream is kept %t, want %t", name, got, c.want)
+		}
+	}
+}
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -194,7 +194,7 @@
 	}
 	current := asked.After(r.listed) // else the instance has read a newer list itself
 	if current && !changed && !r.ownList {
-		r.listed = asked
+		r.setListed(asked)
 	}
 	r.operatorTold = rp.OperatorSeq
 	if rp.Operator != "" && rp.Operator == r.operator.Load().Tag() {
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -77,6 +77,7 @@
 	operatorChecked time.Time // when the operators' wishes were known to be unchanged
 	storeSeen       time.Time // the last answer of the store
 	storeFailing    time.Time // the first failure since then; zero if there is none
+	servedOthers    time.Time // when the leader's first list since the last failure was asked for
 	outageEnded     time.Time // the end of the last outage that this instance saw
 
 	// What is reported to the leader, and what it told.
@@ -319,11 +320,15 @@
 	case err == nil:
 		if !was.IsZero() && now.Sub(was) > lapseAfter {
 			r.outageEnded = now
+			if !r.servedOthers.IsZero() {
+				r.outageEnded = r.servedOthers // this instance has not asked since
+			}
 		}
 		r.storeSeen, r.storeFailing = now, time.Time{}
 	case was.IsZero():
 		r.storeFailing = now
 	}
+	r.servedOthers = time.Time{}
 	r.mu.Unlock()
 	switch {
 	case err == nil && !was.IsZero():
@@ -333,6 +338,15 @@
 	}
 }
 
+// setListed notes when the list that this instance has was asked for. The caller holds
+// mu.
+func (r *Router) setListed(asked time.Time) {
+	r.listed = asked
+	if !r.storeFailing.IsZero() && r.servedOthers.IsZero() {
+		r.servedOthers = asked
+	}
+}
+
 // storeAge returns the time since the store last answered. The caller holds mu.
 func (r *Router) storeAge(now time.Time) time.Duration {
 	if r.storeSeen.IsZero() {
