--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -170,6 +170,9 @@
 	}
 	d := net.Dialer{Timeout: t.cfg.DialTimeout, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", addr)
+	if t.cfg.TurnsAway && errors.Is(err, syscall.ECONNRESET) {
+		return nil, false, ErrTurnedAway // reset before the dial had returned; nobody listening is ECONNREFUSED
+	}
 	if err != nil {
 		return nil, false, err
 	}
