capacity: round products of sums, so that fused multiply-adds change nothing

Measured on arm64: go test ./internal/capacity failed before with GOFLAGS=-buildvcs=false and passes now, with that setting and with the machine's.

--- a/internal/capacity/cells.go
+++ b/internal/capacity/cells.go
@@ -40,7 +40,7 @@
 	// Every cell of the region sends each home one call per tokenCallInterval for all
 	// limits of the home. The homes of a region's accounts are instances of the region.
 	perHome := float64(accounts) / nodes
-	c.TokenBytes = cells / regions / tokenCallInterval * (callHeaderBytes + 2*perHome*batchedLimitBytes)
+	c.TokenBytes = cells / regions / tokenCallInterval * (callHeaderBytes + float64(2*perHome*batchedLimitBytes))
 	return c
 }
 
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -71,7 +71,7 @@
 
 // recordBytes returns the size in bytes of an assignment record with n members.
 func (m model) recordBytes(n, units float64) float64 {
-	return m.at("assignment-bytes", units) + m.slope("members-bytes")*n
+	return m.at("assignment-bytes", units) + float64(m.slope("members-bytes")*n)
 }
 
 // homeSelectionRate returns how often per second an instance chooses the homes of all
@@ -92,10 +92,10 @@
 // cpuPerNode returns the processor time in ns/s that a node spends on records,
 // decisions, ticks and renewals.
 func (m model) cpuPerNode() float64 {
-	return assignmentWriteRate*m.at("assignment-decode", units) + catalogueWriteRate*m.at("catalogue-parse", 4000) +
-		requestsPerNode*(m.admitCPU()+m.at("dispatch-request", upstreamsPerNode)) +
-		100*(m.at("dispatch-tick", upstreamsPerNode)+m.at("holder-tick", requestsPerNode)) +
-		m.at("control-calls", upstreamsPerNode)*m.slope("renew-cpu")
+	return float64(assignmentWriteRate*m.at("assignment-decode", units)) + float64(catalogueWriteRate*m.at("catalogue-parse", 4000)) +
+		float64(requestsPerNode*(m.admitCPU()+m.at("dispatch-request", upstreamsPerNode))) +
+		float64(100*(m.at("dispatch-tick", upstreamsPerNode)+m.at("holder-tick", requestsPerNode))) +
+		float64(m.at("control-calls", upstreamsPerNode)*m.slope("renew-cpu"))
 }
 
 // admitCPU returns the processor time in ns that the receiving instance needs to
@@ -244,7 +244,7 @@
 			"one pass over the units", "a plan only after a report, a list or a member changed; cells", "plan-unchanged", units,
 		},
 		{
-			role, "memory", "input and result of a plan, with the record", 2*m.at("assignment-heap", units) + m.recordBytes(nodes, units), memoryBound, "B",
+			role, "memory", "input and result of a plan, with the record", float64(2*m.at("assignment-heap", units)) + m.recordBytes(nodes, units), memoryBound, "B",
 			"the units are copied only if one moves", "cells", "assignment-heap", units,
 		},
 		{
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -35,7 +35,7 @@
 type Fit struct{ Slope, Intercept, R2 float64 }
 
 // At returns the value of the line at x, or 0 where the line is negative.
-func (f Fit) At(x float64) float64 { return max(0, f.Intercept+f.Slope*x) }
+func (f Fit) At(x float64) float64 { return max(0, f.Intercept+float64(f.Slope*x)) }
 
 // At returns the value at size x. Between measured sizes it interpolates linearly
 // between the two nearest ones. Above the largest size it returns the value of the fit,
@@ -67,7 +67,8 @@
 	return x
 }
 
-// fitLine returns the least-squares line through the points.
+// fitLine returns the least-squares line through the points. The conversions round each
+// product, because fused multiply-adds of some processors would change the last digits.
 func fitLine(points []Point) Fit {
 	n := float64(len(points))
 	var mx, my, sxy, sxx, syy float64
@@ -76,12 +77,12 @@
 		my += p.Y / n
 	}
 	for _, p := range points {
-		sxy += (p.X - mx) * (p.Y - my)
-		sxx += (p.X - mx) * (p.X - mx)
-		syy += (p.Y - my) * (p.Y - my)
+		sxy += float64((p.X - mx) * (p.Y - my))
+		sxx += float64((p.X - mx) * (p.X - mx))
+		syy += float64((p.Y - my) * (p.Y - my))
 	}
 	f := Fit{Slope: sxy / sxx, R2: 1}
-	f.Intercept = my - f.Slope*mx
+	f.Intercept = my - float64(f.Slope*mx)
 	if syy > 0 {
 		f.R2 = sxy * sxy / (sxx * syy)
 	}
