http1, direct: count closed connections of callers by cause

Logs and metrics did not tell who closes connections: the caller, a timeout of the server, a shutdown, or bytes that are not HTTP. Change: http1.ServerConfig.OnClosed reports the cause and the number of unanswered requests; direct counts them, and logs closes that the caller did not make while requests were unanswered.

--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -20,6 +20,7 @@
 	storeCalls      *prometheus.CounterVec   // by call, outcome
 	upstreamCalls   *prometheus.CounterVec   // by order, result
 	keyMoves        *prometheus.CounterVec   // by cause
+	closedConns     *prometheus.CounterVec   // by cause
 	droppedLogLines prometheus.Counter
 
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
@@ -54,6 +55,9 @@
 		keyMoves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyproxy_direct_key_moves_total", Help: "Spans of keys that the leader planned to move.",
 		}, []string{"cause"}),
+		closedConns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyproxy_direct_caller_connections_closed_total", Help: "Closed connections of callers, by cause.",
+		}, []string{"cause"}),
 		droppedLogLines: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "parsleyproxy_direct_log_lines_dropped_total", Help: "Log lines that were not written, since the output was too slow or the rate too high.",
 		}),
@@ -71,7 +75,7 @@
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.droppedLogLines)
+	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.upstreams)
 	return m
 }
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -141,7 +141,7 @@
 		debug.SetMemoryLimit(int64(float64(r.cfg.MaxMemory) * memoryLimitShare))
 	}
 	r.log.Info("instance started", "instance", r.cfg.Instance, "boot", r.boot, "zone", r.cfg.Zone, "store", r.cfg.Store)
-	callers, err := http1.Listen(http1.ServerConfig{Addr: r.cfg.CallerListen, Handler: http.HandlerFunc(r.serve), ReadTimeout: serverReadTimeout, MaxBody: maxCallerBody})
+	callers, err := http1.Listen(http1.ServerConfig{Addr: r.cfg.CallerListen, Handler: http.HandlerFunc(r.serve), ReadTimeout: serverReadTimeout, MaxBody: maxCallerBody, OnClosed: r.callerConnClosed})
 	if err != nil {
 		return err
 	}
@@ -172,6 +172,15 @@
 	return g.Run()
 }
 
+// callerConnClosed counts a closed connection of a caller, and logs it if requests on it
+// had not been answered although the caller did not close it.
+func (r *Router) callerConnClosed(cause http1.CloseCause, requests int) {
+	r.metrics.closedConns.WithLabelValues(string(cause)).Inc()
+	if requests > 0 && cause != http1.ClosedByPeer {
+		r.log.Warn("caller connection closed before its answers", "cause", string(cause), "requests", requests)
+	}
+}
+
 const (
 	// balancerDelay is the time until the platform's balancer sends no new connections
 	// after the instance stops being ready: two checks at an interval of one second,
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,6 +23,37 @@
 	MaxBody      int           // bytes; 0 means 4 MiB
 	ReadTimeout  time.Duration // from one response to the end of the next request; 0 means 60 s
 	WriteTimeout time.Duration // 0 means 10 s
+	// OnClosed is called after a connection has closed, with the number of its requests
+	// whose handlers had not returned. It may be nil.
+	OnClosed func(cause CloseCause, requests int)
+}
+
+// CloseCause states why a connection of a Server has closed.
+type CloseCause string
+
+// The causes of closed connections.
+const (
+	ClosedByPeer   CloseCause = "peer"          // closed or reset by the peer, or lost
+	ClosedByServer CloseCause = "server"        // during a shutdown, or after a response that announced it
+	ClosedIdle     CloseCause = "read-timeout"  // no complete request within ReadTimeout
+	ClosedUnread   CloseCause = "write-timeout" // no complete response within WriteTimeout
+	ClosedInvalid  CloseCause = "malformed"     // bytes that are not HTTP
+)
+
+// closeCause classifies the error with which nbio has closed a connection.
+func closeCause(err error) CloseCause {
+	var errno syscall.Errno
+	switch {
+	case err == nil:
+		return ClosedByServer
+	case errors.Is(err, nbio.ErrReadTimeout):
+		return ClosedIdle
+	case errors.Is(err, nbio.ErrWriteTimeout):
+		return ClosedUnread
+	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.As(err, &errno):
+		return ClosedByPeer
+	}
+	return ClosedInvalid
 }
 
 const (
@@ -96,12 +129,16 @@
 		defer s.mu.Unlock()
 		s.idleSince[c] = time.Now()
 	})
-	s.engine.OnClose(func(c net.Conn, _ error) {
+	s.engine.OnClose(func(c net.Conn, err error) {
 		s.mu.Lock()
-		defer s.mu.Unlock()
+		requests := s.requestCount[c]
 		delete(s.idleSince, c)
 		delete(s.requestCount, c)
 		delete(s.pipelines, c)
+		s.mu.Unlock()
+		if cfg.OnClosed != nil {
+			cfg.OnClosed(closeCause(err), requests)
+		}
 	})
 	s.engine.OnData(func(c *nbio.Conn, data []byte) {
 		opened.Load()
