http1: serve connections with package net instead of nbio's event loop

Cause: nbio's event loop looks up connections by descriptor number for a batch of events. Other goroutines close connections of the batch meanwhile, and a connection that is accepted then gets the same number and the event 'closed by the peer' of the former one. Change: the server accepts, reads and writes with net, whose descriptors cannot be confused, and keeps nbhttp's parser and responses. It closes idle connections itself, under the lock under which requests start. A connection ends with FIN and is read for 300 ms more, so that no reset overtakes its last response. A disconnect cancels requests at once instead of after up to 20 ms.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -1,5 +1,5 @@
-// Package http1 implements an HTTP/1.1 server and client on nbhttp, and a second
-// client, Transport, on net/http's parser.
+// Package http1 implements an HTTP/1.1 server on nbhttp's parser, a client on nbhttp,
+// and a second client, Transport, on net/http's parser.
 //
 // The clients keep one connection pool per address and send one request at a time
 // on a connection. They distinguish two failures, because the outcome of a refusal
--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -5,11 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
 )
 
 // Guards against a caller that keeps pipelining requests while the server drains:
@@ -63,9 +66,7 @@
 	_, _ = io.ReadAll(res.Body)
 	_ = res.Body.Close()
 	conn := waitForOnlyConn(t, s)
-	s.mu.Lock()
-	pipe := s.pipelines[conn]
-	s.mu.Unlock()
+	pipe := &conn.pipeline
 	waitFor(t, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -75,10 +76,10 @@
 	pipe.inFlight = 1
 	s.mu.Unlock()
 	later := time.Now().Add(time.Minute)
-	s.closeIdle(later, later.Add(-time.Minute))
+	s.closeIdle(later, later.Add(-time.Minute), drainIdleTimeout, ClosedByServer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing[conn] {
+	if conn.closing {
 		t.Error("connection with an arrived request was closed as idle")
 	}
 }
@@ -108,11 +109,134 @@
 	get()
 	conn := waitForOnlyConn(t, s)
 	s.mu.Lock()
-	pipe := s.pipelines[conn]
-	pipe.inFlight++ // as if the goroutine of the first request had not ended
+	conn.pipeline.inFlight++ // as if the goroutine of the first request had not ended
 	s.mu.Unlock()
 	s.Drain()
 	if res := get(); res.StatusCode != http.StatusOK || !res.Close {
 		t.Errorf("status %d, Connection: close %t", res.StatusCode, res.Close)
 	}
 }
+
+// Guards against a last response that is cut off because the connection is closed while
+// a part of the response is still unsent.
+func TestDrainSendsLargeResponse(t *testing.T) {
+	const size = 8 << 20
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(make([]byte, size))
+	})
+	s.Drain()
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if err := c.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := io.Copy(io.Discard, res.Body)
+	if err != nil || n != size || !res.Close {
+		t.Errorf("body of %d bytes, error %v, Connection: close %t; want %d bytes", n, err, res.Close, size)
+	}
+}
+
+// Guards against a connection that is closed without an answer because its request runs
+// for longer than WriteTimeout, which concerns the sending of a response.
+func TestRequestMayRunLongerThanWriteTimeout(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	s, err := Listen(ServerConfig{Addr: "127.0.0.1:0", WriteTimeout: timeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-time.After(4 * timeout)
+		_, _ = io.WriteString(w, "done")
+	})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	res, err := http.Get("http://" + s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	_ = res.Body.Close()
+	if err != nil || string(body) != "done" {
+		t.Errorf("body %q, error %v", body, err)
+	}
+}
+
+// Guards against a peer that reads nothing and keeps its connection and the memory of
+// its response for ever.
+func TestUnreadResponseClosesConn(t *testing.T) {
+	closed := make(chan CloseCause, 1)
+	s, err := Listen(ServerConfig{
+		Addr: "127.0.0.1:0", WriteTimeout: 50 * time.Millisecond,
+		OnClosed: func(cause CloseCause, _ int) { closed <- cause },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(64<<20))
+			_, _ = w.Write(make([]byte, 64<<20))
+		}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	select {
+	case cause := <-closed:
+		if diff := cmp.Diff(ClosedUnread, cause); diff != "" {
+			t.Error(diff)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the connection was not closed")
+	}
+}
+
+// Guards against answers that are lost because bytes that are not HTTP follow their
+// requests.
+func TestRequestBeforeMalformedBytesIsAnswered(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(arrived)
+		<-release
+		_, _ = io.WriteString(w, "done")
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-arrived
+	_, _ = io.WriteString(c, "\x00 is no request")
+	conn := waitForBusyConn(t, s)
+	waitFor(t, conn.isClosing)
+	close(release)
+	body, err := io.ReadAll(c)
+	if err != nil || !strings.HasSuffix(string(body), "\r\n\r\ndone") {
+		t.Errorf("read %q, error %v", body, err)
+	}
+}
+
+func waitForBusyConn(t *testing.T, s *Server) (conn *serverConn) {
+	t.Helper()
+	waitFor(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for conn = range s.conns {
+			return len(conn.inFlight) > 0
+		}
+		return false
+	})
+	return conn
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -114,7 +114,7 @@
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	s := listen(t, func(http.ResponseWriter, *http.Request) {})
 	addr := s.Addr()
-	_ = s.listener.Listener.Close()
+	_ = s.listener.Close()
 	_, err := newPool(t, addr).Do(t.Context(), &Request{Method: "GET", Target: "/"})
 	var notSent *NotSentError
 	if !errors.As(err, &notSent) {
@@ -227,9 +227,9 @@
 	conn := waitForOnlyConn(t, s)
 	drainStart := time.Now()
 	s.mu.Lock()
-	since := s.idleSince[conn]
+	since := conn.idleSince
 	s.mu.Unlock()
-	s.closeIdle(since.Add(drainIdleTimeout+drainStart.Sub(since)), drainStart.Add(-drainIdleTimeout))
+	s.closeIdle(since.Add(drainIdleTimeout+drainStart.Sub(since)), drainStart.Add(-drainIdleTimeout), drainIdleTimeout, ClosedByServer)
 	// From here on the test acts as the goroutine of a request that was read before the
 	// close and starts after it.
 	if _, err := client.Read(make([]byte, 1)); err == nil {
@@ -238,7 +238,7 @@
 	waitFor(t, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return len(s.idleSince) == 0
+		return len(s.conns) == 0
 	})
 	if s.startRequest(&exchange{conn: conn}) {
 		t.Error("the request started on a closed connection")
@@ -246,13 +246,13 @@
 }
 
 // waitForOnlyConn waits until the server's only connection is idle and returns it.
-func waitForOnlyConn(t *testing.T, s *Server) (conn net.Conn) {
+func waitForOnlyConn(t *testing.T, s *Server) (conn *serverConn) {
 	t.Helper()
 	waitFor(t, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		for conn = range s.idleSince {
-			return true
+		for conn = range s.conns {
+			return len(conn.inFlight) == 0
 		}
 		return false
 	})
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 )
 
@@ -19,7 +18,7 @@
 // sequentially; the server runs them concurrently and writes their responses in the
 // order of the requests. Its fields are guarded by Server.mu.
 type pipeline struct {
-	conn      net.Conn
+	conn      *serverConn
 	newest    *responseSlot // slot of the most recent request
 	pending   *responseSlot // slot of the request that has arrived and was not executed yet
 	inFlight  int           // requests
@@ -36,50 +35,36 @@
 	responseStarted bool // the response is being written; guarded by Server.mu
 }
 
-// enablePipelining makes the requests of a connection run concurrently.
-func (s *Server) enablePipelining(c *nbio.Conn) {
-	parser, ok := c.Session().(*nbhttp.Parser)
-	if !ok {
-		return
-	}
+// execute runs f, which serves the request of the pending slot. It returns false if the
+// request was rejected.
+func (c *serverConn) execute(f func()) bool {
+	s := c.server
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.pipelines[c] != nil {
-		return
+	slot := c.pipeline.pending // set by the preceding enqueueRequest
+	c.pipeline.pending = nil
+	s.mu.Unlock()
+	if slot == nil {
+		return false
 	}
-	pipe := &pipeline{conn: c}
-	s.pipelines[c] = pipe
-	parser.Execute = func(f func()) bool {
-		s.mu.Lock()
-		slot := pipe.pending // set by the preceding enqueueRequest; nil if it rejected the request
-		pipe.pending = nil
-		s.mu.Unlock()
-		if slot == nil {
-			return false
+	go func() {
+		defer s.finishSlot(slot)
+		if slot.waitBeforeRun {
+			<-slot.prevDone
 		}
-		go func() {
-			defer s.finishSlot(slot)
-			if slot.waitBeforeRun {
-				<-slot.prevDone
-			}
-			f()
-		}()
-		return true
-	}
+		f()
+	}()
+	return true
 }
 
 // enqueueRequest assigns a response slot to a request. nbhttp calls it in the order
-// of arrival, each time immediately before Execute. While the server drains, a request
+// of arrival, each time immediately before execute. While the server drains, a request
 // that is pipelined behind one without a response is rejected: a caller that keeps
 // pipelining would hold its connection open until the server stops, and its last
 // requests would be aborted.
 func (s *Server) enqueueRequest(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pipe := s.pipelines[connOf(w)]
-	if pipe == nil {
-		return
-	}
+	pipe := &connOf(w).pipeline
 	if s.draining.Load() && pipe.inFlight > 0 && !pipe.newest.responseStarted {
 		pipe.rejecting = true
 	}
@@ -103,15 +88,16 @@
 // and closes a rejecting connection after its last request.
 func (s *Server) finishSlot(slot *responseSlot) {
 	s.mu.Lock()
-	slot.pipeline.inFlight--
-	closeConn := slot.pipeline.rejecting && slot.pipeline.inFlight == 0
+	pipe := slot.pipeline
+	pipe.inFlight--
+	closeConn := pipe.rejecting && pipe.inFlight == 0
 	if closeConn {
-		s.closing[slot.pipeline.conn] = true
+		pipe.conn.setClosing(ClosedByServer, true)
 	}
 	s.mu.Unlock()
 	close(slot.done)
 	if closeConn {
-		_ = slot.pipeline.conn.Close()
+		_ = pipe.conn.Close()
 	}
 }
 
@@ -125,16 +111,7 @@
 }
 
 // connOf returns the connection of a request.
-func connOf(w http.ResponseWriter) net.Conn {
-	res, ok := w.(*nbhttp.Response)
-	if !ok || res.Parser == nil {
-		return nil
-	}
-	if c, ok := res.Parser.Conn.(*nbhttp.Conn); ok {
-		return c.Conn
-	}
-	return res.Parser.Conn
-}
+func connOf(w http.ResponseWriter) *serverConn { return w.(*nbhttp.Response).Parser.Conn.(*serverConn) }
 
 // orderedWriter delays a response until the previous response of its connection has
 // been written. It buffers a response without Content-Length until the handler
@@ -218,7 +195,7 @@
 	if !s.draining.Load() || slot != nil && slot.pipeline.newest != slot {
 		return false
 	}
-	s.closing[x.conn] = true
+	x.conn.setClosing(ClosedByServer, true)
 	return true
 }
 
@@ -228,7 +205,7 @@
 	switch {
 	case w.started:
 		return
-	case w.bufferedStatus == 0 && ctx.Err() != nil && w.exchange.conn != nil:
+	case w.bufferedStatus == 0 && ctx.Err() != nil:
 		_ = w.exchange.conn.Close()
 		return
 	case w.bufferedStatus == 0:
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 )
 
@@ -22,7 +19,7 @@
 	MaxConns     int           // open connections; 0 means 20,000
 	MaxBody      int           // bytes; 0 means 4 MiB
 	ReadTimeout  time.Duration // from one response to the end of the next request; 0 means 60 s
-	WriteTimeout time.Duration // 0 means 10 s
+	WriteTimeout time.Duration // without progress in sending a response; 0 means 10 s
 	// OnClosed is called after a connection has closed, with the number of its requests
 	// whose handlers had not returned. It may be nil.
 	OnClosed func(cause CloseCause, requests int)
@@ -36,148 +33,78 @@
 	ClosedByPeer   CloseCause = "peer"          // closed or reset by the peer, or lost
 	ClosedByServer CloseCause = "server"        // during a shutdown, or after a response that announced it
 	ClosedIdle     CloseCause = "read-timeout"  // no complete request within ReadTimeout
-	ClosedUnread   CloseCause = "write-timeout" // no complete response within WriteTimeout
+	ClosedUnread   CloseCause = "write-timeout" // the peer did not read its response
 	ClosedInvalid  CloseCause = "malformed"     // bytes that are not HTTP
 )
 
-// closeCause classifies the error with which nbio has closed a connection.
-func closeCause(err error) CloseCause {
-	var errno syscall.Errno
-	switch {
-	case err == nil:
-		return ClosedByServer
-	case errors.Is(err, nbio.ErrReadTimeout):
-		return ClosedIdle
-	case errors.Is(err, nbio.ErrWriteTimeout):
-		return ClosedUnread
-	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.As(err, &errno):
-		return ClosedByPeer
-	}
-	return ClosedInvalid
-}
-
 const (
 	defaultServerConns  = 20_000
 	defaultMaxBody      = 4 << 20
 	defaultReadTimeout  = 60 * time.Second
 	defaultWriteTimeout = 10 * time.Second
 
-	// disconnectCheckInterval is how often the server checks whether the callers of
-	// requests in flight have disconnected. It polls because nbhttp reports a closed
-	// connection only after the handler returns.
-	disconnectCheckInterval = 20 * time.Millisecond
+	// idleCheckInterval is how often the server closes connections whose ReadTimeout has
+	// expired, and drainCheckInterval how often a shutdown looks for idle connections.
+	idleCheckInterval  = 250 * time.Millisecond
+	drainCheckInterval = 20 * time.Millisecond
 	// drainIdleTimeout is how long a server that shuts down waits for another request
 	// on an idle connection before it closes the connection.
 	drainIdleTimeout = 350 * time.Millisecond
+	// acceptRetryDelay is the delay after a failed accept, for example because the
+	// process has no free descriptors.
+	acceptRetryDelay = 5 * time.Millisecond
 )
 
 // Server is an HTTP/1.1 server on one address. Pipelined requests run concurrently,
 // and their responses are written in order. The context of a request is cancelled
 // when its caller disconnects.
+//
+// It uses nbhttp's parser and responses, but not its event loop: that closes descriptors
+// on other goroutines than the one that polls them, which then applies events of a
+// closed connection to a new one with the same descriptor number.
 type Server struct {
-	engine   *nbhttp.Engine
-	handler  http.Handler
-	listener *listener
+	cfg      ServerConfig
+	engine   *nbhttp.Engine // not started; holds the settings of parsers
+	listener net.Listener
 	draining atomic.Bool
 	stop     chan struct{}
 
 	mu           sync.Mutex
-	inFlight     map[*exchange]struct{}
-	idleSince    map[net.Conn]time.Time // open connections without a started request
-	requestCount map[net.Conn]int       // started requests of the other open connections
-	pipelines    map[net.Conn]*pipeline
+	conns        map[*serverConn]struct{}
 	waitingSlots map[*http.Request]*responseSlot // slots of requests that have not started
-	closing      map[net.Conn]bool               // connections that the server has closed or is about to close
 }
 
 // exchange is a request in flight and the connection that it arrived on.
 type exchange struct {
-	conn   net.Conn
+	conn   *serverConn
 	cancel context.CancelFunc
 }
 
 // Listen starts a server.
 func Listen(cfg ServerConfig) (*Server, error) {
+	cfg.MaxConns, cfg.MaxBody = orDefault(cfg.MaxConns, defaultServerConns), orDefault(cfg.MaxBody, defaultMaxBody)
+	cfg.ReadTimeout, cfg.WriteTimeout = orDefault(cfg.ReadTimeout, defaultReadTimeout), orDefault(cfg.WriteTimeout, defaultWriteTimeout)
+	ln, err := net.Listen("tcp", cfg.Addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", cfg.Addr)
+	}
 	s := &Server{
-		handler: cfg.Handler, stop: make(chan struct{}), inFlight: make(map[*exchange]struct{}),
-		idleSince: make(map[net.Conn]time.Time), requestCount: make(map[net.Conn]int), pipelines: make(map[net.Conn]*pipeline),
-		waitingSlots: make(map[*http.Request]*responseSlot), closing: make(map[net.Conn]bool),
+		cfg: cfg, listener: ln, stop: make(chan struct{}),
+		conns: make(map[*serverConn]struct{}), waitingSlots: make(map[*http.Request]*responseSlot),
 	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name: "http1-server", Network: "tcp", Addrs: []string{cfg.Addr},
-		MaxLoad:                 orDefault(cfg.MaxConns, defaultServerConns),
-		MaxHTTPBodySize:         orDefault(cfg.MaxBody, defaultMaxBody),
-		ReadLimit:               orDefault(cfg.MaxBody, defaultMaxBody) + http.DefaultMaxHeaderBytes,
-		KeepaliveTime:           orDefault(cfg.ReadTimeout, defaultReadTimeout),
-		WriteTimeout:            orDefault(cfg.WriteTimeout, defaultWriteTimeout),
-		ReleaseWebsocketPayload: true,
-		OnRequest:               s.enqueueRequest,
-		Handler:                 http.HandlerFunc(s.serve),
-		Listen: func(network, addr string) (net.Listener, error) {
-			ln, err := net.Listen(network, addr)
-			s.listener = &listener{Listener: ln, engineStopped: make(chan struct{})}
-			return s.listener, err
-		},
+		Name: "http1-server", SupportServerOnly: true,
+		MaxHTTPBodySize: cfg.MaxBody,
+		ReadLimit:       cfg.MaxBody + http.DefaultMaxHeaderBytes,
+		ServerExecutor:  func(f func()) { go f() },
+		OnRequest:       s.enqueueRequest,
+		Handler:         http.HandlerFunc(s.serve),
 	})
-	// The acceptor passes a connection to the poller through epoll, which the race
-	// detector does not know as a synchronization. The atomic counter adds a
-	// happens-before edge that the race detector knows.
-	var opened atomic.Int64
-	s.engine.OnOpen(func(c net.Conn) {
-		opened.Add(1)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.idleSince[c] = time.Now()
-	})
-	s.engine.OnClose(func(c net.Conn, err error) {
-		s.mu.Lock()
-		requests := s.requestCount[c]
-		delete(s.idleSince, c)
-		delete(s.requestCount, c)
-		delete(s.pipelines, c)
-		s.mu.Unlock()
-		if cfg.OnClosed != nil {
-			cfg.OnClosed(closeCause(err), requests)
-		}
-	})
-	s.engine.OnData(func(c *nbio.Conn, data []byte) {
-		opened.Load()
-		s.enablePipelining(c)
-		c.DataHandler()(c, data)
-	})
-	if err := s.engine.Start(); err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", cfg.Addr)
-	}
-	go s.watchDisconnects()
+	go s.accept()
+	go s.closeExpired()
 	return s, nil
 }
 
-// listener allows the listening socket to be closed before the engine stops. The
-// engine's accept loop would spin on a closed listener, so Accept then blocks until
-// the engine stops.
-type listener struct {
-	net.Listener
-	once          sync.Once
-	engineStopped chan struct{}
-}
-
-// Accept waits for a connection. If the socket is closed, it blocks until the engine
-// calls Close.
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		<-l.engineStopped
-	}
-	return c, err
-}
-
-// Close closes the listening socket and releases Accept. The engine calls it when it
-// stops.
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.engineStopped) })
-	return l.Listener.Close()
-}
-
 func orDefault[T int | time.Duration](v, def T) T {
 	if v <= 0 {
 		return def
@@ -188,6 +115,60 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
+// accept serves new connections until the listener is closed.
+func (s *Server) accept() {
+	for {
+		nc, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		if c := s.addConn(nc); c != nil {
+			go c.serve()
+		} else {
+			_ = nc.Close()
+		}
+	}
+}
+
+// addConn registers a new connection. It returns nil if the server is stopped or has
+// MaxConns connections.
+func (s *Server) addConn(nc net.Conn) *serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.stop:
+		return nil
+	default:
+	}
+	if len(s.conns) >= s.cfg.MaxConns {
+		return nil
+	}
+	c := &serverConn{Conn: nc, server: s, idleSince: time.Now(), inFlight: make(map[*exchange]struct{})}
+	c.pipeline.conn = c
+	s.conns[c] = struct{}{}
+	return c
+}
+
+// removeConn unregisters a closed connection and cancels its requests.
+func (s *Server) removeConn(c *serverConn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	c.closed = true
+	c.setClosing(ClosedByPeer, false)
+	requests, cause := len(c.inFlight), c.cause
+	for x := range c.inFlight {
+		x.cancel()
+	}
+	s.mu.Unlock()
+	if s.cfg.OnClosed != nil {
+		s.cfg.OnClosed(cause, requests)
+	}
+}
+
 // Drain makes the server close each connection after its next response, which has the
 // header "Connection: close".
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -197,13 +178,13 @@
 // within drainIdleTimeout. It returns ctx's error if ctx ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	_ = s.listener.Listener.Close()
+	_ = s.listener.Close()
 	drainStart := time.Now()
-	tick := time.NewTicker(disconnectCheckInterval)
+	tick := time.NewTicker(drainCheckInterval)
 	defer tick.Stop()
 	defer s.Close()
 	for {
-		if s.closeIdle(time.Now(), drainStart) == 0 {
+		if s.closeIdle(time.Now(), drainStart, drainIdleTimeout, ClosedByServer) == 0 {
 			return nil
 		}
 		select {
@@ -214,27 +195,40 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for drainIdleTimeout, counted
-// from drainStart at the earliest. It returns the number of connections that were
-// open before.
-func (s *Server) closeIdle(now, drainStart time.Time) int {
+// closeExpired closes connections whose ReadTimeout has expired until the server stops.
+func (s *Server) closeExpired() {
+	tick := time.NewTicker(idleCheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case now := <-tick.C:
+			s.closeIdle(now, time.Time{}, s.cfg.ReadTimeout, ClosedIdle)
+		}
+	}
+}
+
+// closeIdle closes the connections that have been idle for timeout, counted from start
+// at the earliest. It returns the number of connections that were open before. A request
+// that arrives afterwards does not start, as both are decided under the lock.
+func (s *Server) closeIdle(now, start time.Time, timeout time.Duration, cause CloseCause) int {
 	s.mu.Lock()
-	var expired []net.Conn
-	for c, since := range s.idleSince {
-		if pipe := s.pipelines[c]; pipe != nil && pipe.inFlight > 0 {
-			continue // a request has arrived, but its goroutine has not started or not ended
+	var expired []*serverConn
+	for c := range s.conns {
+		if c.closing || len(c.inFlight) > 0 || c.pipeline.inFlight > 0 {
+			continue // a request may have arrived whose goroutine has not started or not ended
 		}
-		if since.Before(drainStart) {
-			since = drainStart
+		since := c.idleSince
+		if since.Before(start) {
+			since = start
 		}
-		if now.Sub(since) >= drainIdleTimeout {
+		if now.Sub(since) >= timeout {
 			expired = append(expired, c)
+			c.setClosing(cause, true)
 		}
 	}
-	open := len(s.idleSince) + len(s.requestCount)
-	for _, c := range expired {
-		s.closing[c] = true
-	}
+	open := len(s.conns)
 	s.mu.Unlock()
 	for _, c := range expired {
 		_ = c.Close()
@@ -252,7 +246,11 @@
 	default:
 		close(s.stop)
 	}
-	go s.engine.Stop()
+	_ = s.listener.Close()
+	for c := range s.conns {
+		c.setClosing(ClosedByServer, true)
+		_ = c.Conn.Close()
+	}
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
@@ -265,30 +263,23 @@
 		return
 	}
 	defer s.endRequest(x)
-	s.handler.ServeHTTP(ordered, r.WithContext(ctx))
+	s.cfg.Handler.ServeHTTP(ordered, r.WithContext(ctx))
 	ordered.finishResponse(ctx)
 }
 
 // startRequest registers a request. It returns false if the server has closed the
 // connection or is about to close it: the request would get no response and must not
 // run. A request whose caller has closed the connection runs, because it has been
-// received.
+// received, but its context is cancelled.
 func (s *Server) startRequest(x *exchange) bool {
-	if x.conn != nil {
-		// The read deadline covers the arrival of a request. Without the reset it would
-		// abort a request that runs longer.
-		_ = x.conn.SetReadDeadline(time.Time{})
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing[x.conn] {
+	if x.conn.closing {
 		return false
 	}
-	s.inFlight[x] = struct{}{}
-	_, idle := s.idleSince[x.conn]
-	if idle || s.requestCount[x.conn] > 0 {
-		delete(s.idleSince, x.conn)
-		s.requestCount[x.conn]++
+	x.conn.inFlight[x] = struct{}{}
+	if x.conn.closed {
+		x.cancel()
 	}
 	return true
 }
@@ -299,38 +290,6 @@
 func (s *Server) endRequest(x *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.inFlight, x)
-	if s.requestCount[x.conn] > 1 {
-		s.requestCount[x.conn]--
-	} else if s.requestCount[x.conn] == 1 {
-		delete(s.requestCount, x.conn)
-		s.idleSince[x.conn] = time.Now()
-	}
-}
-
-func (s *Server) watchDisconnects() {
-	tick := time.NewTicker(disconnectCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-s.stop:
-			return
-		case <-tick.C:
-			s.cancelDisconnected()
-		}
-	}
-}
-
-func (s *Server) cancelDisconnected() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for x := range s.inFlight {
-		c, ok := x.conn.(interface{ IsClosed() (bool, error) })
-		if !ok {
-			continue
-		}
-		if closed, _ := c.IsClosed(); closed {
-			x.cancel()
-		}
-	}
+	delete(x.conn.inFlight, x)
+	x.conn.idleSince = time.Now()
 }
--- /dev/null
+++ b/internal/http1/serverconn.go
@@ -0,0 +1,131 @@
+package http1
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+const (
+	// readBufferSize is the size in bytes of a connection's read buffer. Most requests
+	// fit into it.
+	readBufferSize = 4 << 10
+	// writeChunkSize is the number of bytes that the peer has to read within
+	// WriteTimeout.
+	writeChunkSize = 64 << 10
+	// lingerTimeout is how long a connection that the server has closed is still read.
+	// Closing a socket that has unread bytes resets it, and the reset can overtake the
+	// last response.
+	lingerTimeout = 300 * time.Millisecond
+)
+
+// serverConn is a connection of a Server. nbhttp writes responses to it.
+type serverConn struct {
+	net.Conn
+	server *Server
+
+	// The following fields are guarded by Server.mu.
+	pipeline  pipeline
+	inFlight  map[*exchange]struct{} // started requests
+	idleSince time.Time              // when the last request ended; not meaningful while requests are in flight
+	closing   bool                   // the server has closed the connection or is about to close it
+	closed    bool                   // the read loop has ended
+	cause     CloseCause             // why the connection closes; empty until that is known
+}
+
+// serve reads requests until the connection ends.
+func (c *serverConn) serve() {
+	parser := nbhttp.NewParser(c, c.server.engine, nbhttp.NewServerProcessor(), false, c.execute)
+	buf := make([]byte, readBufferSize)
+	var err error
+	for err == nil {
+		var n int
+		n, err = c.Conn.Read(buf)
+		if n > 0 && !c.isClosing() && parser.Parse(buf[:n]) != nil {
+			c.reject(ClosedInvalid)
+		}
+	}
+	_ = c.Conn.Close()
+	parser.CloseAndClean(err)
+	c.server.removeConn(c)
+}
+
+func (c *serverConn) isClosing() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.closing || c.pipeline.rejecting
+}
+
+// reject makes the connection close after the responses to the requests in flight.
+func (c *serverConn) reject(cause CloseCause) {
+	c.server.mu.Lock()
+	c.pipeline.rejecting = true
+	c.setClosing(cause, c.pipeline.inFlight == 0)
+	closing := c.closing
+	c.server.mu.Unlock()
+	if closing {
+		_ = c.Close()
+	}
+}
+
+// setClosing records the first cause for which the connection closes, and, if now is
+// set, that no further request may start on it. The caller holds Server.mu.
+func (c *serverConn) setClosing(cause CloseCause, now bool) {
+	if c.cause == "" {
+		c.cause = cause
+	}
+	c.closing = c.closing || now
+}
+
+// Close sends the end of the connection after the responses that were written. The read
+// loop then closes the socket when the peer has closed it too, or after lingerTimeout.
+func (c *serverConn) Close() error {
+	c.server.mu.Lock()
+	c.setClosing(ClosedByServer, true)
+	c.server.mu.Unlock()
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
+		return err
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Write writes b, and fails once the peer has read nothing for WriteTimeout.
+func (c *serverConn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		chunk := b[written:min(len(b), written+writeChunkSize)]
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(chunk)
+		written += n
+		if err != nil {
+			c.writeFailed(err)
+		}
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// writeFailed closes the connection, on which a response ends early.
+func (c *serverConn) writeFailed(err error) {
+	cause := ClosedByPeer
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		cause = ClosedUnread
+	}
+	c.server.mu.Lock()
+	c.setClosing(cause, true)
+	c.server.mu.Unlock()
+	_ = c.Conn.Close()
+}
+
+// SetReadDeadline does nothing: the server closes idle connections itself, because a
+// deadline could expire just as a request arrives. nbhttp calls it after each response.
+func (c *serverConn) SetReadDeadline(time.Time) error { return nil }
