--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -201,6 +201,27 @@
 	}
 }
 
+// Guards against a request that runs although its caller asked to close the connection
+// after an earlier one: it would get no answer.
+func TestRequestBehindCloseDoesNotRun(t *testing.T) {
+	var ran atomic.Int32
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		ran.Add(1)
+		_, _ = io.WriteString(w, "done")
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	answers, err := io.ReadAll(c)
+	if n := strings.Count(string(answers), "200 OK"); err != nil || n != 1 || ran.Load() != 1 {
+		t.Errorf("%d answers, %d requests ran, error %v; want 1 and 1", n, ran.Load(), err)
+	}
+}
+
 // Guards against answers that are lost because bytes that are not HTTP follow their
 // requests.
 func TestRequestBeforeMalformedBytesIsAnswered(t *testing.T) {
