direct: guard the end of the leader's lease

Cause: a save of the ownership record that is repeated reads the end of the lease on its own goroutine, while the leader's loop writes it. The race is older; it needs a failed save and a renewal at the same time. Change: both hold Router.mu.

--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -73,7 +73,7 @@
 type leadership struct {
 	term              uint64 // revision of the leader key
 	lease             LeaseID
-	validUntil        time.Duration // on the clock of bootClock
+	validUntil        time.Duration // on the clock of bootClock; guarded by Router.mu, as other goroutines read it
 	coordinator       *keyspace.Coordinator
 	recordRev         fleet.Revision // revision of the stored ownership record
 	callResults       chan callResult
@@ -187,7 +187,9 @@
 				return
 			}
 			if res.err == nil {
+				r.mu.Lock()
 				l.validUntil = res.sentAt + leaderLeaseTTL - leaseMargin
+				r.mu.Unlock()
 			}
 			r.noteStoreResult(time.Now(), res.err)
 		case rep := <-l.reports:
@@ -310,7 +312,10 @@
 			return 0, err
 		case <-time.After(storeRetryDelay):
 		}
-		if bootClock() > l.validUntil+leaderLeaseTTL {
+		r.mu.Lock()
+		validUntil := l.validUntil
+		r.mu.Unlock()
+		if bootClock() > validUntil+leaderLeaseTTL {
 			return 0, err
 		}
 	}
