http1, direct: attempts of one request use different connections

Callers would see: an unsafe request on a sharded service runs twice (TWICE), or is refused with "not run" while the holder runs it (REFUSED). Cause: after a refusal with free slots, or 421, the request goes to the same holder with the same Request-Id, mostly on the connection that had just become idle. A second copy of the refusal then has the expected id and counts as the answer to the second attempt. Change: http1.AttemptGroup remembers the connections that carried an attempt of a request; Transport takes another idle one or opens one for the next attempt. Each id is on a connection once, so a refusal with it can only answer this attempt. Hedged attempts and those at other upstreams use the group too. Cost: one new connection for a repeated attempt at one holder if all other idle ones to it are in use or there are none; TestAttemptsUseDifferentConns counts 0 with another idle connection and 1 without. First attempts open no more than before.

--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -57,7 +57,7 @@
 	sentAt := time.Now()
 	a := attempt{upstream: upstream, id: upstream.ID}
 	req := &http1.Request{
-		Method: x.method, Target: x.target, Host: x.host, Body: x.body,
+		Method: x.method, Target: x.target, Host: x.host, Body: x.body, Attempts: &x.attemptGroup,
 		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: upstream.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, upstream.Addr, req, func(res *http1.Response) bool {
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -38,8 +39,9 @@
 	account              routes.Account
 	service              routes.Service
 
-	arrivals int      // number of times that the request was sent to an upstream
-	attempts []string // descriptions of the attempts, for the log
+	arrivals     int                // number of times that the request was sent to an upstream
+	attempts     []string           // descriptions of the attempts, for the log
+	attemptGroup http1.AttemptGroup // keeps the attempts on different connections
 }
 
 // outcome is the answer to a caller.
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -89,6 +89,9 @@
 	Host   string // Host header; if empty, the address that the request is sent to
 	Header http.Header
 	Body   []byte
+	// Attempts links the attempts of the request at one Transport, which then use different
+	// connections. If nil, any connection is used. Pool ignores it.
+	Attempts *AttemptGroup
 }
 
 // Response is an HTTP response with its complete body.
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,6 +70,33 @@
 	return &Transport{cfg: cfg, idle: make(map[string][]*persistentConn)}
 }
 
+// AttemptGroup makes the attempts of one request use different connections. A response
+// carries the id of its request, not of the attempt: if a peer writes its response to an
+// earlier attempt once more, only the connection tells it from that to a later attempt.
+// The zero value is ready for use.
+type AttemptGroup struct {
+	mu    sync.Mutex
+	conns []*persistentConn // connections on which an attempt was written
+}
+
+func (g *AttemptGroup) used(pc *persistentConn) bool {
+	if g == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Contains(g.conns, pc)
+}
+
+func (g *AttemptGroup) add(pc *persistentConn) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conns = append(g.conns, pc)
+}
+
 // persistentConn is a connection of a Transport, which serves one request at a time.
 type persistentConn struct {
 	conn    net.Conn
@@ -118,10 +146,11 @@
 		return nil, &NotSentError{Addr: addr, Err: err}
 	}
 	for {
-		pc, reused, err := t.acquire(ctx, addr)
+		pc, reused, err := t.acquire(ctx, addr, req.Attempts)
 		if err != nil {
 			return nil, &NotSentError{Addr: addr, Err: err}
 		}
+		req.Attempts.add(pc)
 		stop := context.AfterFunc(ctx, func() { _ = pc.conn.SetDeadline(time.Unix(1, 0)) })
 		n, err := pc.conn.Write(encodeRequest(addr, req))
 		if err != nil {
@@ -157,11 +186,12 @@
 	}
 }
 
-// acquire returns a usable idle connection to addr (reused is true) or opens one.
-func (t *Transport) acquire(ctx context.Context, addr string) (pc *persistentConn, reused bool, err error) {
+// acquire returns a usable idle connection to addr that no attempt of g has used (reused
+// is true) or opens one.
+func (t *Transport) acquire(ctx context.Context, addr string, g *AttemptGroup) (pc *persistentConn, reused bool, err error) {
 	now := time.Now()
 	for {
-		pc := t.popIdle(addr)
+		pc := t.popIdle(addr, g)
 		if pc == nil {
 			break
 		}
@@ -203,16 +233,19 @@
 	return conn.SetReadDeadline(time.Time{}) == nil
 }
 
-func (t *Transport) popIdle(addr string) *persistentConn {
+// popIdle removes and returns the most recently used idle connection to addr that no
+// attempt of g has used, or returns nil if there is none.
+func (t *Transport) popIdle(addr string, g *AttemptGroup) *persistentConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conns := t.idle[addr]
-	if len(conns) == 0 {
-		return nil
+	for i, pc := range slices.Backward(conns) {
+		if !g.used(pc) {
+			t.idle[addr] = slices.Delete(conns, i, i+1)
+			return pc
+		}
 	}
-	pc := conns[len(conns)-1]
-	t.idle[addr] = conns[:len(conns)-1]
-	return pc
+	return nil
 }
 
 // putIdle keeps pc for later requests, at most for the idle timeout that the peer
--- a/internal/http1/transport_test.go
+++ b/internal/http1/transport_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,6 +41,63 @@
 	t.Error("no request failed with ErrConnRejected")
 }
 
+// Guards against attempts of one request that share a connection, on which a response to
+// the first attempt that is written once more would be taken for that to the second, and
+// against a new connection for a second attempt although another idle one exists.
+func TestAttemptsUseDifferentConns(t *testing.T) {
+	var mu sync.Mutex
+	var addrs []string // of the requests, in order
+	hold := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		addrs = append(addrs, r.RemoteAddr)
+		mu.Unlock()
+		if r.URL.Path == "/hold" {
+			<-hold
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer server.Close()
+	tr := NewTransport(TransportConfig{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 10, MaxIdlePerAddr: 4})
+	defer tr.CloseIdle(server.Listener.Addr().String())
+	send := func(target string, g *AttemptGroup) {
+		if _, err := tr.Do(t.Context(), server.Listener.Addr().String(), &Request{Method: http.MethodGet, Target: target, Attempts: g}, nil); err != nil {
+			t.Error(err)
+		}
+	}
+	var first, second AttemptGroup
+	send("/", nil)     // connection a, opened
+	send("/", &first)  // a
+	send("/", &first)  // b, opened
+	send("/", nil)     // b, the last one used
+	send("/", &second) // b
+	send("/", &second) // a
+	var wg sync.WaitGroup
+	wg.Go(func() { send("/hold", nil) }) // a
+	for {
+		mu.Lock()
+		held := len(addrs) == 7
+		mu.Unlock()
+		if held {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	send("/", &second) // c, opened: a is in use and b was used
+	close(hold)
+	wg.Wait()
+	names, got := make(map[string]string), ""
+	for _, addr := range addrs {
+		if names[addr] == "" {
+			names[addr] = string(rune('a' + len(names)))
+		}
+		got += names[addr]
+	}
+	if want := "aabbbaac"; got != want {
+		t.Errorf("connections of the requests: %s, want %s", got, want)
+	}
+}
+
 func TestStaysOpen(t *testing.T) {
 	for name, c := range map[string]struct {
 		peer func(net.Conn)
