direct: skip answers without a request id on a kept connection

Callers would see: 503, 429 or 421 for an unsafe request that the upstream runs (REFUSED), which may also be sent to a second upstream (TWICE), or the body of another answer (MIXED). An upstream wrote an earlier answer once more, without a request id, on a kept connection. Cause: send accepted every answer without an id as that of the request in progress. Evidence: TestLeftoverAnswers failed before in 7 of 10 cases, for example "refusal": status 503 instead of 200, "success": body "old" instead of "good", "refusal-then-closed" and "request-without-id": 503 instead of 502. The cases with another request's id, with bytes directly after an answer and with a refusal on a new connection passed before. Change: Response.FirstOnConn states that no response came earlier on the connection. An answer without an id is accepted only then, else it is skipped and the answer with the id is awaited, until the deadline. Upstreams echo ids, so the answer to a request with an id has one. A request without an id still gets the next answer without one, but a refusal among these counts as an unknown outcome (502) unless it is the first response on its connection. Measured: TestLeftoverAnswers passed 5 times in a row; go test -race of internal/http1, internal/direct and platform passed. No connection is opened or closed for this; the skipping has no other cost as long as upstreams echo ids.

--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -61,12 +61,14 @@
 		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: upstream.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, upstream.Addr, req, func(res *http1.Response) bool {
-		id := r.platform.Protocol.ParseResponse(res.Status, res.Header).ID
-		return id == "" || id == x.info.ID
+		return mayAnswer(r.platform.Protocol.ParseResponse(res.Status, res.Header).ID, x.info.ID, res.FirstOnConn)
 	})
 	now := time.Now()
 	if a.err == nil {
 		a.metadata = r.platform.Protocol.ParseResponse(a.response.Status, a.response.Header)
+		if a.metadata.NotRun && a.metadata.ID == "" && !a.response.FirstOnConn {
+			a.err = &http1.LostError{Addr: upstream.Addr, Err: errors.New("the refusal has no request id and may belong to an earlier request")}
+		}
 	}
 	a.verdict = classify(ctx, a)
 	r.mu.Lock()
@@ -80,6 +82,14 @@
 	return a
 }
 
+// mayAnswer reports whether a response with an id may answer the request with the id
+// requestID. Upstreams echo the id of a request. A response without one is accepted on a
+// new connection; on a kept one it may belong to an earlier request, which an upstream
+// has answered twice, and the answer to this request follows.
+func mayAnswer(id, requestID fleet.RequestID, firstOnConn bool) bool {
+	return id == requestID || id == "" && firstOnConn
+}
+
 // classify returns the verdict on an attempt for load balancing.
 func classify(ctx context.Context, a attempt) balance.Verdict {
 	var notSent *http1.NotSentError
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -100,6 +100,9 @@
 	Header  http.Header
 	Trailer http.Header
 	Body    []byte
+	// FirstOnConn states that no other response arrived on the connection before this one,
+	// so that it cannot belong to an earlier request. Only Transport sets it.
+	FirstOnConn bool
 }
 
 // NotSentError reports a request of which no byte was written.
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -102,6 +102,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	expires time.Time
+	// answered states that a response, other than an interim one, has arrived.
+	answered bool
 }
 
 // CloseIdle closes the idle connections to addr.
@@ -345,7 +347,8 @@
 		if int64(len(body)) > maxBody {
 			return nil, false, ErrBodyTooLarge
 		}
-		response := &Response{Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer, Body: body}
+		response := &Response{Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer, Body: body, FirstOnConn: !pc.answered}
+		pc.answered = true
 		if accept != nil && !accept(response) {
 			if res.Close {
 				return nil, false, errors.New("connection closed after a response to another request")
