direct: replace 408, 429 and 503 that an upstream sends without Not-Executed

Callers of unsafe routes would see: "not run, try again" for a request that may have run (REFUSED). Cause: only Not-Executed or 421 states that an upstream did not run a request; any other answer was forwarded with its status, also when that status is a promise to the caller. Evidence: TestStatusWithoutNotRunStatement failed before: upstream's status 503, 429 and 408 arrived as 503, 429 and 408, sealed, instead of 502. Change: for routes that are not idempotent such an answer becomes 502 "upstream-lost", an answer of the instance without the upstream's seal. Other statuses and idempotent routes are as before; the verdict on the upstream is as before.

--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -121,7 +121,22 @@
 	return fmt.Sprintf("%s:%d:%dms", a.id, a.response.Status, took.Milliseconds())
 }
 
-func upstreamOutcome(p Protocol, a attempt) outcome {
+// promisesNotRun reports whether status tells a caller that its request has not run and
+// may be sent again.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// upstreamOutcome returns the outcome of an attempt that the upstream has answered and
+// may have run. If x is not idempotent, a status that promises the contrary is replaced.
+func upstreamOutcome(p Protocol, x *exchange, a attempt) outcome {
+	if !x.route.Idempotent && promisesNotRun(a.response.Status) {
+		return refuse(http.StatusBadGateway, "upstream-lost", 0)
+	}
 	return outcome{status: a.response.Status, header: p.CallerHeader(a.response.Header), body: a.response.Body}
 }
 
@@ -232,11 +247,11 @@
 		return outcome{}, false
 	}
 	if a.err == nil && a.verdict != balance.Failed {
-		return upstreamOutcome(f.r.platform.Protocol, a), true
+		return upstreamOutcome(f.r.platform.Protocol, x, a), true
 	}
 	failed := refuse(http.StatusBadGateway, "upstream-lost", 0)
 	if a.err == nil {
-		failed = upstreamOutcome(f.r.platform.Protocol, a)
+		failed = upstreamOutcome(f.r.platform.Protocol, x, a)
 	}
 	if f.failure == nil || a.err == nil {
 		f.failure = &failed
@@ -289,7 +304,7 @@
 		x.arrivals++
 		a := r.send(ctx, x, upstream)
 		if a.err == nil && !a.metadata.NotRun {
-			return upstreamOutcome(r.platform.Protocol, a)
+			return upstreamOutcome(r.platform.Protocol, x, a)
 		}
 		if out, final := r.handleHolderFailure(ctx, x, a, changed); final {
 			return out
