http1: bound response heads, interim responses and skipped responses

Cause: Transport read heads, 1xx responses and responses that accept refuses without a bound, until the deadline of the request, and read the bodies of refused responses into memory. Evidence: TestEndlessResponses failed before in 7 of 14 cases. Bounded before already: bodies with a length, to the end of the connection and in chunks (MaxBody); the line with the size of a chunk, its extensions and the trailer (net/http, by its read buffer of 2 KiB here). Change: a head is at most 32 KiB; at most 8 interim and 8 skipped responses precede the response; accept is called before the body is read, and skipped bodies are discarded, at most 1 MiB of them. Beyond a bound the connection is closed at once and the attempt counts as lost, with an error that names the bound. The store, holder and peer clients use the same Transport. Heads or bodies that drip end at the request's deadline, as before (TestSlowResponseEndsAtDeadline passes without the change). TestResponsesWithinBounds covers a head of 30 KB, 3 interim and 3 skipped responses of 100 KB. go test -race of internal/http1 passed twice.

--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -65,6 +65,28 @@
 // ErrBodyTooLarge reports a response body larger than TransportConfig.MaxBody.
 var ErrBodyTooLarge = errors.New("response exceeds the maximum body size")
 
+// Bounds on what a peer may send before the response to a request. Without them a faulty
+// peer could send bytes without end, which take memory until the deadline of the request.
+const (
+	// maxHeadSize is the largest response head in bytes. It is small because a header map of
+	// short lines takes many times their bytes.
+	maxHeadSize = 32 << 10
+	// maxInterim and maxSkipped are the largest numbers of interim (1xx) responses and of
+	// responses that accept refuses. A sound peer sends one or two interim responses, and a
+	// connection with leftover bytes is not reused, so that few responses are skipped.
+	maxInterim = 8
+	maxSkipped = 8
+	// maxSkippedSize is the largest size in bytes of the bodies of all skipped responses.
+	maxSkippedSize = 1 << 20
+)
+
+// Errors that a LostError of a Transport wraps if the peer exceeds a bound.
+var (
+	ErrHeadTooLarge     = errors.Errorf("response head exceeds %d bytes", maxHeadSize)
+	ErrTooManyResponses = errors.Errorf("more than %d interim responses, or %d responses to other requests", maxInterim, maxSkipped)
+	ErrSkippedTooLarge  = errors.Errorf("responses to other requests exceed %d bytes", maxSkippedSize)
+)
+
 // NewTransport returns a transport without open connections.
 func NewTransport(cfg TransportConfig) *Transport {
 	return &Transport{cfg: cfg, idle: make(map[string][]*persistentConn)}
@@ -100,12 +122,37 @@
 // persistentConn is a connection of a Transport, which serves one request at a time.
 type persistentConn struct {
 	conn    net.Conn
+	source  *headLimiter // reads from conn
 	reader  *bufio.Reader
 	expires time.Time
 	// answered states that a response, other than an interim one, has arrived.
 	answered bool
 }
 
+// readBufferSize is the size in bytes of a connection's read buffer. It is also the bound
+// that net/http sets on a trailer and on the line with the size of a chunk.
+const readBufferSize = 2 << 10
+
+// headLimiter reads from a connection and bounds the bytes of a response head.
+type headLimiter struct {
+	conn   net.Conn
+	inHead bool
+	left   int // bytes that may still be read while inHead
+}
+
+// Read returns ErrHeadTooLarge if the head exceeds its bound.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // CloseIdle closes the idle connections to addr.
 func (t *Transport) CloseIdle(addr string) {
 	t.mu.Lock()
@@ -141,7 +188,8 @@
 }
 
 // Do sends req to addr and returns the first complete response that accept returns
-// true for; a nil accept accepts every response. The error is a *NotSentError or a
+// true for; a nil accept accepts every response. accept is called before the body is
+// read. The error is a *NotSentError or a
 // *LostError. If ctx ends first, the connection is closed.
 func (t *Transport) Do(ctx context.Context, addr string, req *Request, accept func(*Response) bool) (*Response, error) {
 	if err := ctx.Err(); err != nil {
@@ -219,7 +267,8 @@
 			return nil, false, ErrConnRejected
 		}
 	}
-	return &persistentConn{conn: conn, reader: bufio.NewReaderSize(conn, 2<<10)}, false, nil
+	source := &headLimiter{conn: conn}
+	return &persistentConn{conn: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, false, nil
 }
 
 // staysOpen reports whether the peer neither closes the new connection nor sends
@@ -329,32 +378,55 @@
 	return b.Bytes()
 }
 
+// readHead reads the head of a response.
+func (pc *persistentConn) readHead(method string) (*http.Response, error) {
+	pc.source.inHead, pc.source.left = true, maxHeadSize
+	res, err := http.ReadResponse(pc.reader, &http.Request{Method: method})
+	pc.source.inHead = false
+	if err != nil {
+		return nil, errors.Wrap(err, "read response header")
+	}
+	return res, nil
+}
+
 // readResponse returns the first response that accept returns true for, and whether
 // the connection can be reused.
 func (pc *persistentConn) readResponse(method string, maxBody int64, accept func(*Response) bool) (*Response, bool, error) {
-	for {
-		res, err := http.ReadResponse(pc.reader, &http.Request{Method: method})
+	interim, skipped, skippedSize := 0, 0, int64(0)
+	for interim <= maxInterim && skipped <= maxSkipped {
+		res, err := pc.readHead(method)
 		if err != nil {
-			return nil, false, errors.Wrap(err, "read response header")
+			return nil, false, err
 		}
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
+			interim++
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
-		if err != nil {
-			return nil, false, errors.Wrap(err, "read response body")
-		}
-		if int64(len(body)) > maxBody {
-			return nil, false, ErrBodyTooLarge
-		}
-		response := &Response{Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer, Body: body, FirstOnConn: !pc.answered}
+		response := &Response{Status: res.StatusCode, Header: res.Header, FirstOnConn: !pc.answered}
 		pc.answered = true
 		if accept != nil && !accept(response) {
 			if res.Close {
 				return nil, false, errors.New("connection closed after a response to another request")
 			}
+			n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedSize-skippedSize+1))
+			if err != nil {
+				return nil, false, errors.Wrap(err, "read response body")
+			}
+			skipped++
+			if skippedSize += n; skippedSize > maxSkippedSize {
+				return nil, false, ErrSkippedTooLarge
+			}
 			continue
 		}
+		response.Body, err = io.ReadAll(io.LimitReader(res.Body, maxBody+1))
+		if err != nil {
+			return nil, false, errors.Wrap(err, "read response body")
+		}
+		if int64(len(response.Body)) > maxBody {
+			return nil, false, ErrBodyTooLarge
+		}
+		response.Trailer = res.Trailer
 		return response, !res.Close && pc.reader.Buffered() == 0, nil
 	}
+	return nil, false, ErrTooManyResponses
 }
