http1, direct: bound the memory of all response bodies together

Operators would see: an instance that exceeds its memory (284 MiB) and is ended, while upstreams send bodies without end or several large ones at a time. Cause: each body could take MaxBody (64 MiB), more while its buffer grew, and nothing bounded their sum. Change: http1.BodyBudget counts the buffers of response bodies beyond 64 KiB each, also the old one while a buffer grows. Over it the attempt is lost and the connection closed, with ErrBodyBudget and the bytes in use. Bodies of upstreams count until the answer is written (AttemptGroup.Release), others until Do returns. parsleyproxy front has a budget of 96 MiB for upstreams, or 40% of the memory limit if that is less; a body of 64 MiB alone takes up to 96 MiB while it is read. The store has a budget of its own and 32 MiB for a body, grants and releases 64 KiB for a body. A declared length over MaxBody ends the attempt before the body is read. Not bounded: what the server holds of an answer that a slow caller has not yet read.

--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -22,8 +22,33 @@
 	frontIdleTimeout     = 8 * time.Second
 	frontMaxResponseBody = 64 << 20 // bytes
 	frontMaxIdleConns    = 16       // per address
+	// frontBodyBudget bounds the memory in bytes of all upstream responses at a time. One of
+	// the maximum size takes 1.5 times its size while its buffer grows. Several at a time
+	// could exceed the memory of an instance, often 284 MiB.
+	frontBodyBudget = frontMaxResponseBody * 3 / 2
+	// frontBodyBudgetShare bounds it to a share of the memory limit. The rest is for copies
+	// on the way to callers, garbage and everything else.
+	frontBodyBudgetShare = 0.4
+	// frontMaxStoreBody is the largest response of the store in bytes. Its pages have about
+	// 1 MB, and a watch returns few of the operators' keys. The store has a budget of its
+	// own, so that bodies of upstreams cannot keep an instance from reading it.
+	frontMaxStoreBody    = 32 << 20
+	frontStoreBodyBudget = frontMaxStoreBody * 3 / 2
+	// frontMaxHolderBody is the largest response to a grant or release in bytes; these have
+	// no body or a short message.
+	frontMaxHolderBody = 64 << 10
 )
 
+// upstreamBodyBudget returns the budget for responses of upstreams. maxMemory is the
+// memory limit of the instance in bytes, 0 if unknown.
+func upstreamBodyBudget(maxMemory int64) *http1.BodyBudget {
+	size := int64(frontBodyBudget)
+	if maxMemory > 0 {
+		size = min(size, int64(float64(maxMemory)*frontBodyBudgetShare))
+	}
+	return http1.NewBodyBudget(size)
+}
+
 func frontCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "front",
@@ -60,11 +85,14 @@
 func runFront(ctx context.Context, path string, cfg direct.Settings, level hclog.Level) error {
 	metrics := direct.NewMetrics()
 	log := hclog.New(&hclog.LoggerOptions{Level: level, Output: logs.NewWriter(os.Stdout, metrics.LogDropped), JSONFormat: true})
-	upstreamTransport := http1.TransportConfig{DialTimeout: frontDialTimeout, IdleTimeout: frontIdleTimeout, MaxBody: frontMaxResponseBody, MaxIdlePerAddr: frontMaxIdleConns, RejectsExcessConns: true}
+	upstreamTransport := http1.TransportConfig{DialTimeout: frontDialTimeout, IdleTimeout: frontIdleTimeout, MaxBody: frontMaxResponseBody, MaxIdlePerAddr: frontMaxIdleConns, RejectsExcessConns: true, Bodies: upstreamBodyBudget(cfg.MaxMemory)}
+	holderTransport := upstreamTransport
+	holderTransport.MaxBody = frontMaxHolderBody
 	storeTransport := upstreamTransport
 	storeTransport.CloseIdleOnError, storeTransport.RejectsExcessConns = true, false
+	storeTransport.MaxBody, storeTransport.Bodies = frontMaxStoreBody, http1.NewBodyBudget(frontStoreBodyBudget)
 	external := direct.Platform{
-		Store: platform.NewStore(cfg.Store, http1.NewTransport(storeTransport), metrics.StoreCall), Holders: platform.Holders{Client: http1.NewTransport(upstreamTransport)},
+		Store: platform.NewStore(cfg.Store, http1.NewTransport(storeTransport), metrics.StoreCall), Holders: platform.Holders{Client: http1.NewTransport(holderTransport)},
 		Protocol: platform.Protocol{}, UpstreamTransport: http1.NewTransport(upstreamTransport), DecodeConfiguration: platform.DecodeConfig, ReadSettings: func() (direct.Settings, error) { return platform.ReadSettings(path) },
 	}
 	return direct.New(cfg, external, metrics, log).Run(ctx)
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -41,7 +41,7 @@
 
 	arrivals     int                // number of times that the request was sent to an upstream
 	attempts     []string           // descriptions of the attempts, for the log
-	attemptGroup http1.AttemptGroup // keeps the attempts on different connections
+	attemptGroup http1.AttemptGroup // of all attempts; released once the answer is written
 }
 
 // outcome is the answer to a caller.
@@ -62,6 +62,7 @@
 	x := &exchange{
 		method: req.Method, target: req.RequestURI, host: req.Host, header: req.Header, receivedAt: time.Now(),
 	}
+	defer x.attemptGroup.Release()
 	out := r.handle(req, x)
 	r.logRequest(x, out)
 	if out.reason != "" {
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -35,6 +35,10 @@
 	IdleTimeout    time.Duration // a connection that was idle for longer is not reused
 	MaxBody        int64         // largest response body in bytes
 	MaxIdlePerAddr int           // idle connections kept per address
+	// Bodies bounds the memory of response bodies; it may be shared by several transports.
+	// A body counts until Do returns, or until Release of Request.Attempts. If nil, only
+	// MaxBody applies.
+	Bodies *BodyBudget
 	// RejectsExcessConns states that peers with too many connections accept a new one and
 	// reset it immediately. The outcome of a request written before the reset arrives is
 	// unknown, so a new connection is used only after the time in which a reset would
@@ -62,9 +66,6 @@
 	maxRejectWait = 10 * time.Millisecond
 )
 
-// ErrBodyTooLarge reports a response body larger than TransportConfig.MaxBody.
-var ErrBodyTooLarge = errors.New("response exceeds the maximum body size")
-
 // Bounds on what a peer may send before the response to a request. Without them a faulty
 // peer could send bytes without end, which take memory until the deadline of the request.
 const (
@@ -95,10 +96,44 @@
 // AttemptGroup makes the attempts of one request use different connections. A response
 // carries the id of its request, not of the attempt: if a peer writes its response to an
 // earlier attempt once more, only the connection tells it from that to a later attempt.
-// The zero value is ready for use.
+// The bodies of the responses count in TransportConfig.Bodies until Release. The zero
+// value is ready for use.
 type AttemptGroup struct {
-	mu    sync.Mutex
-	conns []*persistentConn // connections on which an attempt was written
+	mu       sync.Mutex
+	conns    []*persistentConn // connections on which an attempt was written
+	bodies   []heldBody
+	released bool
+}
+
+// heldBody is a buffer of size bytes that counts in a budget.
+type heldBody struct {
+	budget *BodyBudget
+	size   int64
+}
+
+// Release states that the bodies of the responses are no longer used. Bodies of attempts
+// that end later count only until their Do returns.
+func (g *AttemptGroup) Release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.bodies {
+		b.budget.release(b.size)
+	}
+	g.bodies, g.released = nil, true
+}
+
+// hold keeps a buffer of size bytes counted in budget until Release. Without a group, or
+// after Release, it is released at once.
+func (g *AttemptGroup) hold(budget *BodyBudget, size int64) {
+	if g != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if !g.released {
+			g.bodies = append(g.bodies, heldBody{budget, size})
+			return
+		}
+	}
+	budget.release(size)
 }
 
 func (g *AttemptGroup) used(pc *persistentConn) bool {
@@ -214,7 +249,7 @@
 			}
 			return nil, &NotSentError{Addr: addr, Err: err}
 		}
-		res, keep, err := pc.readResponse(req.Method, t.cfg.MaxBody, accept)
+		res, keep, err := pc.readResponse(req.Method, t.cfg, accept)
 		if !stop() || err != nil {
 			keep = false
 		}
@@ -232,6 +267,7 @@
 			}
 			return nil, &LostError{Addr: addr, Err: err}
 		}
+		req.Attempts.hold(t.cfg.Bodies, int64(cap(res.Body)))
 		return res, nil
 	}
 }
@@ -390,8 +426,8 @@
 }
 
 // readResponse returns the first response that accept returns true for, and whether
-// the connection can be reused.
-func (pc *persistentConn) readResponse(method string, maxBody int64, accept func(*Response) bool) (*Response, bool, error) {
+// the connection can be reused. The body of the response counts in cfg.Bodies.
+func (pc *persistentConn) readResponse(method string, cfg TransportConfig, accept func(*Response) bool) (*Response, bool, error) {
 	interim, skipped, skippedSize := 0, 0, int64(0)
 	for interim <= maxInterim && skipped <= maxSkipped {
 		res, err := pc.readHead(method)
@@ -418,12 +454,8 @@
 			}
 			continue
 		}
-		response.Body, err = io.ReadAll(io.LimitReader(res.Body, maxBody+1))
-		if err != nil {
-			return nil, false, errors.Wrap(err, "read response body")
-		}
-		if int64(len(response.Body)) > maxBody {
-			return nil, false, ErrBodyTooLarge
+		if response.Body, err = readBody(res, cfg.MaxBody, cfg.Bodies); err != nil {
+			return nil, false, err
 		}
 		response.Trailer = res.Trailer
 		return response, !res.Close && pc.reader.Buffered() == 0, nil
--- a/internal/http1/transport_bounds_test.go
+++ b/internal/http1/transport_bounds_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,6 +23,7 @@
 	prefix, repeated string
 	times            int
 	pause            time.Duration // between two repetitions
+	sendBuffer       int           // size of the socket's send buffer in bytes; 0: the system's
 }
 
 // start returns the address of the peer, and the number of bytes that it has written.
@@ -46,8 +49,9 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				// A small send buffer, so that bytes written are nearly bytes received.
-				_ = c.(*net.TCPConn).SetWriteBuffer(32 << 10)
+				if p.sendBuffer > 0 {
+					_ = c.(*net.TCPConn).SetWriteBuffer(p.sendBuffer)
+				}
 				in := bufio.NewReader(c)
 				if _, err := http.ReadRequest(in); err != nil {
 					return
@@ -99,6 +103,7 @@
 		"trailer":            {endlessPeer{prefix: chunked + "1\r\nx\r\n0\r\n", repeated: "X: y\r\n"}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
+			c.peer.sendBuffer = 32 << 10 // small, so that the bytes written are nearly those received
 			addr, written, closed := c.peer.start(t)
 			tr := NewTransport(TransportConfig{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxBody: maxBody, MaxIdlePerAddr: 4})
 			ctx, cancel := context.WithTimeout(t.Context(), deadline)
@@ -129,9 +134,9 @@
 func TestResponsesWithinBounds(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
 	for name, peer := range map[string]endlessPeer{
-		"large head":        {"HTTP/1.1 200 OK\r\n", strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 30) + "Content-Length: 4\r\n\r\ngood", 1, 0},
-		"interim responses": {strings.Repeat("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n", 3), ok, 1, 0},
-		"skipped responses": {strings.Repeat("HTTP/1.1 200 OK\r\nSkip: 1\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 100000), 3), ok, 1, 0},
+		"large head":        {"HTTP/1.1 200 OK\r\n", strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 30) + "Content-Length: 4\r\n\r\ngood", 1, 0, 0},
+		"interim responses": {strings.Repeat("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n", 3), ok, 1, 0, 0},
+		"skipped responses": {strings.Repeat("HTTP/1.1 200 OK\r\nSkip: 1\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 100000), 3), ok, 1, 0, 0},
 	} {
 		addr, _, _ := peer.start(t)
 		tr := NewTransport(TransportConfig{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 20, MaxIdlePerAddr: 4})
@@ -164,3 +169,92 @@
 		}
 	}
 }
+
+// Guards against many large bodies at a time that take more memory than the process has,
+// and against a budget that no longer admits a large body after others have failed.
+func TestBodiesWithinBudget(t *testing.T) {
+	const (
+		maxBody  = 16 << 20
+		budget   = maxBody * 3 / 2
+		requests = 10
+		// maxHeap covers the budget, as much garbage of grown buffers, and the peer's part.
+		maxHeap = 2*budget + 16<<20
+	)
+	defer debug.SetGCPercent(debug.SetGCPercent(10))
+	cfg := TransportConfig{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxBody: maxBody, MaxIdlePerAddr: 4, Bodies: NewBodyBudget(budget)}
+	tr := NewTransport(cfg)
+	var peak atomic.Uint64
+	stop := make(chan struct{})
+	var sampling, sending sync.WaitGroup
+	runtime.GC()
+	var base runtime.MemStats
+	runtime.ReadMemStats(&base)
+	sampling.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			peak.Store(max(peak.Load(), m.HeapAlloc))
+		}
+	})
+	addr, _, _ := endlessPeer{prefix: "HTTP/1.1 200 OK\r\n\r\n", repeated: "x"}.start(t)
+	var overBudget atomic.Int32
+	for range requests {
+		sending.Go(func() {
+			_, err := tr.Do(t.Context(), addr, &Request{Method: http.MethodGet, Target: "/"}, nil)
+			var lost *LostError
+			if !errors.As(err, &lost) || !errors.Is(err, ErrBodyBudget) && !errors.Is(err, ErrBodyTooLarge) {
+				t.Errorf("Do = %v, want a LostError", err)
+			}
+			if errors.Is(err, ErrBodyBudget) {
+				overBudget.Add(1)
+			}
+		})
+	}
+	sending.Wait()
+	close(stop)
+	sampling.Wait()
+	used := int64(peak.Load()) - int64(base.HeapAlloc)
+	t.Logf("peak heap of %d endless bodies: %d MiB; %d were ended by the budget", requests, used>>20, overBudget.Load())
+	if used > maxHeap {
+		t.Errorf("peak heap %d MiB, want at most %d MiB", used>>20, maxHeap>>20)
+	}
+	body := strings.Repeat("x", maxBody)
+	for name, prefix := range map[string]string{"length": "Content-Length: 16777216\r\n\r\n", "chunked": "Transfer-Encoding: chunked\r\n\r\n1000000\r\n"} {
+		addr, _, _ := endlessPeer{prefix: "HTTP/1.1 200 OK\r\nConnection: close\r\n" + prefix, repeated: body + "\r\n0\r\n\r\n", times: 1}.start(t)
+		for range 2 {
+			res, err := tr.Do(t.Context(), addr, &Request{Method: http.MethodGet, Target: "/"}, nil)
+			if err != nil || len(res.Body) != maxBody {
+				t.Errorf("%s: Do of the largest body = %v", name, err)
+			}
+		}
+	}
+}
+
+// Guards against memory of a body that is given back before its request is done, or never.
+func TestBodyIsHeldUntilRelease(t *testing.T) {
+	const size = 1 << 20
+	addr, _, _ := endlessPeer{prefix: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1048576\r\n\r\n", repeated: strings.Repeat("x", size), times: 1}.start(t)
+	tr := NewTransport(TransportConfig{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxBody: size, MaxIdlePerAddr: 4, Bodies: NewBodyBudget(size * 2)})
+	send := func(g *AttemptGroup) error {
+		_, err := tr.Do(t.Context(), addr, &Request{Method: http.MethodGet, Target: "/", Attempts: g}, nil)
+		return err
+	}
+	var first, second AttemptGroup
+	if err := send(&first); err != nil {
+		t.Fatal(err)
+	}
+	if err := send(&second); !errors.Is(err, ErrBodyBudget) {
+		t.Errorf("second body while the first is held: %v, want %v", err, ErrBodyBudget)
+	}
+	first.Release()
+	for range 3 {
+		if err := send(&first); err != nil { // the group is released already, as by a slower hedged attempt
+			t.Errorf("body after the release: %v", err)
+		}
+	}
+}
