--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -57,16 +57,18 @@
 	sentAt := time.Now()
 	a := attempt{upstream: upstream, id: upstream.ID}
 	req := &http1.Request{
-		Method: x.method, Target: x.target, Host: x.host, Body: x.body,
+		Method: x.method, Target: x.target, Host: x.host, Body: x.body, Attempts: &x.attemptGroup,
 		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: upstream.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, upstream.Addr, req, func(res *http1.Response) bool {
-		id := r.platform.Protocol.ParseResponse(res.Status, res.Header).ID
-		return id == "" || id == x.info.ID
+		return mayAnswer(r.platform.Protocol.ParseResponse(res.Status, res.Header).ID, x.info.ID, res.FirstOnConn)
 	})
 	now := time.Now()
 	if a.err == nil {
 		a.metadata = r.platform.Protocol.ParseResponse(a.response.Status, a.response.Header)
+		if a.metadata.NotRun && a.metadata.ID == "" && !a.response.FirstOnConn {
+			a.err = &http1.LostError{Addr: upstream.Addr, Err: errors.New("the refusal has no request id and may belong to an earlier request")}
+		}
 	}
 	a.verdict = classify(ctx, a)
 	r.mu.Lock()
@@ -80,6 +82,14 @@
 	return a
 }
 
+// mayAnswer reports whether a response with an id may answer the request with the id
+// requestID. Upstreams echo the id of a request. A response without one is accepted on a
+// new connection; on a kept one it may belong to an earlier request, which an upstream
+// has answered twice, and the answer to this request follows.
+func mayAnswer(id, requestID fleet.RequestID, firstOnConn bool) bool {
+	return id == requestID || id == "" && firstOnConn
+}
+
 // classify returns the verdict on an attempt for load balancing.
 func classify(ctx context.Context, a attempt) balance.Verdict {
 	var notSent *http1.NotSentError
@@ -111,7 +121,22 @@
 	return fmt.Sprintf("%s:%d:%dms", a.id, a.response.Status, took.Milliseconds())
 }
 
-func upstreamOutcome(p Protocol, a attempt) outcome {
+// promisesNotRun reports whether status tells a caller that its request has not run and
+// may be sent again.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// upstreamOutcome returns the outcome of an attempt that the upstream has answered and
+// may have run. If x is not idempotent, a status that promises the contrary is replaced.
+func upstreamOutcome(p Protocol, x *exchange, a attempt) outcome {
+	if !x.route.Idempotent && promisesNotRun(a.response.Status) {
+		return refuse(http.StatusBadGateway, "upstream-lost", 0)
+	}
 	return outcome{status: a.response.Status, header: p.CallerHeader(a.response.Header), body: a.response.Body}
 }
 
@@ -222,11 +247,11 @@
 		return outcome{}, false
 	}
 	if a.err == nil && a.verdict != balance.Failed {
-		return upstreamOutcome(f.r.platform.Protocol, a), true
+		return upstreamOutcome(f.r.platform.Protocol, x, a), true
 	}
 	failed := refuse(http.StatusBadGateway, "upstream-lost", 0)
 	if a.err == nil {
-		failed = upstreamOutcome(f.r.platform.Protocol, a)
+		failed = upstreamOutcome(f.r.platform.Protocol, x, a)
 	}
 	if f.failure == nil || a.err == nil {
 		f.failure = &failed
@@ -279,7 +304,7 @@
 		x.arrivals++
 		a := r.send(ctx, x, upstream)
 		if a.err == nil && !a.metadata.NotRun {
-			return upstreamOutcome(r.platform.Protocol, a)
+			return upstreamOutcome(r.platform.Protocol, x, a)
 		}
 		if out, final := r.handleHolderFailure(ctx, x, a, changed); final {
 			return out
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -89,6 +89,9 @@
 	Host   string // Host header; if empty, the address that the request is sent to
 	Header http.Header
 	Body   []byte
+	// Attempts links the attempts of the request at one Transport, which then use different
+	// connections. If nil, any connection is used. Pool ignores it.
+	Attempts *AttemptGroup
 }
 
 // Response is an HTTP response with its complete body.
@@ -97,6 +100,9 @@
 	Header  http.Header
 	Trailer http.Header
 	Body    []byte
+	// FirstOnConn states that no other response arrived on the connection before this one,
+	// so that it cannot belong to an earlier request. Only Transport sets it.
+	FirstOnConn bool
 }
 
 // NotSentError reports a request of which no byte was written.
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +35,10 @@
 	IdleTimeout    time.Duration // a connection that was idle for longer is not reused
 	MaxBody        int64         // largest response body in bytes
 	MaxIdlePerAddr int           // idle connections kept per address
+	// Bodies bounds the memory of response bodies; it may be shared by several transports.
+	// A body counts until Do returns, or until Release of Request.Attempts. If nil, only
+	// MaxBody applies.
+	Bodies *BodyBudget
 	// RejectsExcessConns states that peers with too many connections accept a new one and
 	// reset it immediately. The outcome of a request written before the reset arrives is
 	// unknown, so a new connection is used only after the time in which a reset would
@@ -61,19 +66,126 @@
 	maxRejectWait = 10 * time.Millisecond
 )
 
-// ErrBodyTooLarge reports a response body larger than TransportConfig.MaxBody.
-var ErrBodyTooLarge = errors.New("response exceeds the maximum body size")
+// Bounds on what a peer may send before the response to a request. Without them a faulty
+// peer could send bytes without end, which take memory until the deadline of the request.
+const (
+	// maxHeadSize is the largest response head in bytes. It is small because a header map of
+	// short lines takes many times their bytes.
+	maxHeadSize = 32 << 10
+	// maxInterim and maxSkipped are the largest numbers of interim (1xx) responses and of
+	// responses that accept refuses. A sound peer sends one or two interim responses, and a
+	// connection with leftover bytes is not reused, so that few responses are skipped.
+	maxInterim = 8
+	maxSkipped = 8
+	// maxSkippedSize is the largest size in bytes of the bodies of all skipped responses.
+	maxSkippedSize = 1 << 20
+)
+
+// Errors that a LostError of a Transport wraps if the peer exceeds a bound.
+var (
+	ErrHeadTooLarge     = errors.Errorf("response head exceeds %d bytes", maxHeadSize)
+	ErrTooManyResponses = errors.Errorf("more than %d interim responses, or %d responses to other requests", maxInterim, maxSkipped)
+	ErrSkippedTooLarge  = errors.Errorf("responses to other requests exceed %d bytes", maxSkippedSize)
+)
 
 // NewTransport returns a transport without open connections.
 func NewTransport(cfg TransportConfig) *Transport {
 	return &Transport{cfg: cfg, idle: make(map[string][]*persistentConn)}
 }
 
+// AttemptGroup makes the attempts of one request use different connections. A response
+// carries the id of its request, not of the attempt: if a peer writes its response to an
+// earlier attempt once more, only the connection tells it from that to a later attempt.
+// The bodies of the responses count in TransportConfig.Bodies until Release. The zero
+// value is ready for use.
+type AttemptGroup struct {
+	mu       sync.Mutex
+	conns    []*persistentConn // connections on which an attempt was written
+	bodies   []heldBody
+	released bool
+}
+
+// heldBody is a buffer of size bytes that counts in a budget.
+type heldBody struct {
+	budget *BodyBudget
+	size   int64
+}
+
+// Release states that the bodies of the responses are no longer used. Bodies of attempts
+// that end later count only until their Do returns.
+func (g *AttemptGroup) Release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.bodies {
+		b.budget.release(b.size)
+	}
+	g.bodies, g.released = nil, true
+}
+
+// hold keeps a buffer of size bytes counted in budget until Release. Without a group, or
+// after Release, it is released at once.
+func (g *AttemptGroup) hold(budget *BodyBudget, size int64) {
+	if g != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if !g.released {
+			g.bodies = append(g.bodies, heldBody{budget, size})
+			return
+		}
+	}
+	budget.release(size)
+}
+
+func (g *AttemptGroup) used(pc *persistentConn) bool {
+	if g == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Contains(g.conns, pc)
+}
+
+func (g *AttemptGroup) add(pc *persistentConn) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conns = append(g.conns, pc)
+}
+
 // persistentConn is a connection of a Transport, which serves one request at a time.
 type persistentConn struct {
 	conn    net.Conn
+	source  *headLimiter // reads from conn
 	reader  *bufio.Reader
 	expires time.Time
+	// answered states that a response, other than an interim one, has arrived.
+	answered bool
+}
+
+// readBufferSize is the size in bytes of a connection's read buffer. It is also the bound
+// that net/http sets on a trailer and on the line with the size of a chunk.
+const readBufferSize = 2 << 10
+
+// headLimiter reads from a connection and bounds the bytes of a response head.
+type headLimiter struct {
+	conn   net.Conn
+	inHead bool
+	left   int // bytes that may still be read while inHead
+}
+
+// Read returns ErrHeadTooLarge if the head exceeds its bound.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // CloseIdle closes the idle connections to addr.
@@ -111,17 +223,19 @@
 }
 
 // Do sends req to addr and returns the first complete response that accept returns
-// true for; a nil accept accepts every response. The error is a *NotSentError or a
+// true for; a nil accept accepts every response. accept is called before the body is
+// read. The error is a *NotSentError or a
 // *LostError. If ctx ends first, the connection is closed.
 func (t *Transport) Do(ctx context.Context, addr string, req *Request, accept func(*Response) bool) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &NotSentError{Addr: addr, Err: err}
 	}
 	for {
-		pc, reused, err := t.acquire(ctx, addr)
+		pc, reused, err := t.acquire(ctx, addr, req.Attempts)
 		if err != nil {
 			return nil, &NotSentError{Addr: addr, Err: err}
 		}
+		req.Attempts.add(pc)
 		stop := context.AfterFunc(ctx, func() { _ = pc.conn.SetDeadline(time.Unix(1, 0)) })
 		n, err := pc.conn.Write(encodeRequest(addr, req))
 		if err != nil {
@@ -135,7 +249,7 @@
 			}
 			return nil, &NotSentError{Addr: addr, Err: err}
 		}
-		res, keep, err := pc.readResponse(req.Method, t.cfg.MaxBody, accept)
+		res, keep, err := pc.readResponse(req.Method, t.cfg, accept)
 		if !stop() || err != nil {
 			keep = false
 		}
@@ -153,15 +267,17 @@
 			}
 			return nil, &LostError{Addr: addr, Err: err}
 		}
+		req.Attempts.hold(t.cfg.Bodies, int64(cap(res.Body)))
 		return res, nil
 	}
 }
 
-// acquire returns a usable idle connection to addr (reused is true) or opens one.
-func (t *Transport) acquire(ctx context.Context, addr string) (pc *persistentConn, reused bool, err error) {
+// acquire returns a usable idle connection to addr that no attempt of g has used (reused
+// is true) or opens one.
+func (t *Transport) acquire(ctx context.Context, addr string, g *AttemptGroup) (pc *persistentConn, reused bool, err error) {
 	now := time.Now()
 	for {
-		pc := t.popIdle(addr)
+		pc := t.popIdle(addr, g)
 		if pc == nil {
 			break
 		}
@@ -187,7 +303,8 @@
 			return nil, false, ErrConnRejected
 		}
 	}
-	return &persistentConn{conn: conn, reader: bufio.NewReaderSize(conn, 2<<10)}, false, nil
+	source := &headLimiter{conn: conn}
+	return &persistentConn{conn: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, false, nil
 }
 
 // staysOpen reports whether the peer neither closes the new connection nor sends
@@ -203,16 +320,19 @@
 	return conn.SetReadDeadline(time.Time{}) == nil
 }
 
-func (t *Transport) popIdle(addr string) *persistentConn {
+// popIdle removes and returns the most recently used idle connection to addr that no
+// attempt of g has used, or returns nil if there is none.
+func (t *Transport) popIdle(addr string, g *AttemptGroup) *persistentConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conns := t.idle[addr]
-	if len(conns) == 0 {
-		return nil
+	for i, pc := range slices.Backward(conns) {
+		if !g.used(pc) {
+			t.idle[addr] = slices.Delete(conns, i, i+1)
+			return pc
+		}
 	}
-	pc := conns[len(conns)-1]
-	t.idle[addr] = conns[:len(conns)-1]
-	return pc
+	return nil
 }
 
 // putIdle keeps pc for later requests, at most for the idle timeout that the peer
@@ -294,31 +414,51 @@
 	return b.Bytes()
 }
 
+// readHead reads the head of a response.
+func (pc *persistentConn) readHead(method string) (*http.Response, error) {
+	pc.source.inHead, pc.source.left = true, maxHeadSize
+	res, err := http.ReadResponse(pc.reader, &http.Request{Method: method})
+	pc.source.inHead = false
+	if err != nil {
+		return nil, errors.Wrap(err, "read response header")
+	}
+	return res, nil
+}
+
 // readResponse returns the first response that accept returns true for, and whether
-// the connection can be reused.
-func (pc *persistentConn) readResponse(method string, maxBody int64, accept func(*Response) bool) (*Response, bool, error) {
-	for {
-		res, err := http.ReadResponse(pc.reader, &http.Request{Method: method})
+// the connection can be reused. The body of the response counts in cfg.Bodies.
+func (pc *persistentConn) readResponse(method string, cfg TransportConfig, accept func(*Response) bool) (*Response, bool, error) {
+	interim, skipped, skippedSize := 0, 0, int64(0)
+	for interim <= maxInterim && skipped <= maxSkipped {
+		res, err := pc.readHead(method)
 		if err != nil {
-			return nil, false, errors.Wrap(err, "read response header")
+			return nil, false, err
 		}
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
+			interim++
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
-		if err != nil {
-			return nil, false, errors.Wrap(err, "read response body")
-		}
-		if int64(len(body)) > maxBody {
-			return nil, false, ErrBodyTooLarge
-		}
-		response := &Response{Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer, Body: body}
+		response := &Response{Status: res.StatusCode, Header: res.Header, FirstOnConn: !pc.answered}
+		pc.answered = true
 		if accept != nil && !accept(response) {
 			if res.Close {
 				return nil, false, errors.New("connection closed after a response to another request")
 			}
+			n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedSize-skippedSize+1))
+			if err != nil {
+				return nil, false, errors.Wrap(err, "read response body")
+			}
+			skipped++
+			if skippedSize += n; skippedSize > maxSkippedSize {
+				return nil, false, ErrSkippedTooLarge
+			}
 			continue
 		}
+		if response.Body, err = readBody(res, cfg.MaxBody, cfg.Bodies); err != nil {
+			return nil, false, err
+		}
+		response.Trailer = res.Trailer
 		return response, !res.Close && pc.reader.Buffered() == 0, nil
 	}
+	return nil, false, ErrTooManyResponses
 }
