direct: a service name that is not UTF-8 does not end the process

What callers would see: one entry under servers/ whose service is not valid UTF-8 ends every instance that knows the list, at the next scrape of its metrics, and again after each restart.

Cause: WithLabelValues panics on a label value that is not valid UTF-8, the JSON decoder does not check strings for it, and a panic in an HTTP handler ends the process, since handlers run in goroutines of internal/http1.

Evidence: TestMetricsOfServiceWithInvalidName failed with 'panic: label value "s\xff" is not valid UTF-8'. A trial with a handler that panics ended the test process through pipeline.go.

Change: invalid bytes in the label service are replaced by U+FFFD. This also covers services of a configuration.

--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -114,11 +115,17 @@
 	m.upstreams.Reset()
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
-			m.upstreams.WithLabelValues(string(service), string(state)).Set(float64(n))
+			m.upstreams.WithLabelValues(serviceLabel(service), string(state)).Set(float64(n))
 		}
 	}
 }
 
+// serviceLabel returns the label value of a service. A label value that is not valid
+// UTF-8 makes the Prometheus client panic, which ends the process.
+func serviceLabel(id fleet.ServiceID) string {
+	return strings.ToValidUTF8(string(id), "\uFFFD")
+}
+
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(call, outcome string) { m.storeCalls.WithLabelValues(call, outcome).Inc() }
 
@@ -128,7 +135,7 @@
 func (m *Metrics) countMove(cause string) { m.keyMoves.WithLabelValues(cause).Inc() }
 
 func (m *Metrics) countRequest(service fleet.ServiceID, status int, reason string, took time.Duration) {
-	m.requestDuration.WithLabelValues(string(service)).Observe(took.Seconds())
+	m.requestDuration.WithLabelValues(serviceLabel(service)).Observe(took.Seconds())
 	m.answers.WithLabelValues(strconv.Itoa(status), reason).Inc()
 }
 
