direct: count invalid store entries and log some of them

What an engineer on call would see: nothing. An entry that names no upstream to use was logged at level debug only, at each read, and had no metric, so an upstream whose entry another writer replaced was only missing.

Change: parsleyproxy_direct_invalid_entries_total counts invalid entries by kind, and a warning names up to three of them at most every 30 s for each kind.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -77,6 +77,7 @@
 	Source    []byte        // the configuration as encoded in the store
 	Evacuated map[fleet.ZoneID]bool
 	Revision  fleet.Revision // revision of the whole store; changes of other keys increase it too
+	Invalid   error          // why the newest stored configuration cannot be decoded; Table is then an older one
 }
 
 // Tag identifies the operator state. Instances compare tags to detect a difference.
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -134,6 +134,9 @@
 		}
 		delay = storeRetryDelay
 		known = true
+		if next.Invalid != nil {
+			r.noteInvalid(time.Now(), entryConfiguration, []error{next.Invalid})
+		}
 		r.setOperatorState(time.Now(), next)
 		if !r.isLeader() {
 			sleep(ctx, storeRetryDelay) // bounds the rate of store calls under frequent changes
@@ -215,9 +218,7 @@
 			continue
 		}
 		delay = storeRetryDelay
-		for _, problem := range unreadable {
-			r.log.Debug("undecodable upstream registration ignored", "error", problem)
-		}
+		r.noteInvalid(time.Now(), entryUpstream, unreadable)
 		r.mu.Lock()
 		r.listFromStore = true
 		r.mu.Unlock()
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -22,6 +22,7 @@
 	upstreamCalls   *prometheus.CounterVec   // by order, result
 	keyMoves        *prometheus.CounterVec   // by cause
 	droppedLogLines prometheus.Counter
+	invalidEntries  *prometheus.CounterVec // by kind
 
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
 	refreshGauges        func(now time.Time)
@@ -59,6 +60,9 @@
 			Name: "parsleyproxy_direct_log_lines_dropped_total", Help: "Log lines that were not written, since the output was too slow or the rate too high.",
 		}),
 	}
+	m.invalidEntries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyproxy_direct_invalid_entries_total", Help: "Entries in the store that were ignored because they are invalid, counted at each read.",
+	}, []string{"kind"})
 	m.knowledgeAge = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_knowledge_age_seconds", Help: "Time since what the instance knows was known to be true.",
 	}, []string{"of"})
@@ -72,7 +76,7 @@
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.droppedLogLines)
+	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.droppedLogLines, m.invalidEntries)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.upstreams)
 	return m
 }
@@ -132,6 +136,10 @@
 // LogDropped counts a log line that was not written.
 func (m *Metrics) LogDropped() { m.droppedLogLines.Inc() }
 
+func (m *Metrics) countInvalid(kind entryKind, n int) {
+	m.invalidEntries.WithLabelValues(string(kind)).Add(float64(n))
+}
+
 func (m *Metrics) countMove(cause string) { m.keyMoves.WithLabelValues(cause).Inc() }
 
 func (m *Metrics) countRequest(service fleet.ServiceID, status int, reason string, took time.Duration) {
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -83,6 +83,8 @@
 	listedDuringFailure time.Time // when the leader's first list since the last failed call was requested
 	outageEndedAt       time.Time // end of the last store outage that this instance saw
 
+	invalidLoggedAt map[entryKind]time.Time // last log lines about invalid entries in the store
+
 	// Data for reports to the leader, and from its replies.
 	leader         leaderInfo
 	requestedKeys  map[fleet.ServiceID][]keyspace.Key // by callers since the last report
@@ -115,8 +117,8 @@
 		homeQuota: quota.NewHome(quota.Config(cfg.Quota)), homesByAccount: make(map[fleet.AccountID][]fleet.Peer), homeFailedAt: make(map[fleet.InstanceID]time.Time),
 		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}),
 		requestedKeys: make(map[fleet.ServiceID][]keyspace.Key), leavingSince: make(map[fleet.UpstreamID]time.Time),
-		evacuatedSince: make(map[fleet.ZoneID]time.Time),
-		rng:            rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
+		evacuatedSince: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
+		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 	}
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	m.refreshGauges = r.updateGauges
