direct: tell zone names with spaces apart in operator tags

What callers would see: if operators replace the evacuation of a zone "a b" by those of zones a and b, the other instances do not learn of it from the leader, since the tags of both states are the same.

Cause: the tag lists the names separated by spaces.

Change: names are escaped as in a URL query. Tags of ordinary names do not change, so that instances of both versions agree on them.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -86,6 +87,9 @@
 		return ""
 	}
 	zones := slices.Sorted(maps.Keys(o.Evacuated))
+	for i, zone := range zones {
+		zones[i] = fleet.ZoneID(url.QueryEscape(string(zone))) // a space would look like the end of the name
+	}
 	return fmt.Sprintf("%d %s", o.Table.Version, zones)
 }
 
