balance: bound the slots of an upstream by those of its service

What callers would see: an entry with a number of slots that passes the checks of an entry but is far too large makes its upstream look free however many requests it has. It takes most of the load of its service, and of its keys if it is sharded, and refuses them.

Cause: the estimated cost and the capacity for keys follow the number of slots.

Evidence: TestOneEntryCannotTakeTheLoad failed: "66% of the requests were sent to the upstream of 12 that names 1000 slots". The test sends twice as many requests as the service has slots.

Change: an upstream counts as having at most 4 times the median slots of its service. The only upstream of a service is not bounded.

Result: the test passes; it requires at most 40%.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,6 +15,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,6 +77,10 @@
 	// instances use together. The rest covers instances that disagree about which of
 	// them are selected.
 	coldRateShare = 0.8
+	// maxSlotsRatio limits the slots of an upstream relative to the median of its service.
+	// Upstreams of a service have about the same number; an entry with a wrong number must
+	// not take the load and the keys of the others.
+	maxSlotsRatio = 4
 )
 
 // Entry is an upstream with the state that this instance has observed.
@@ -135,7 +140,9 @@
 	var changes []Change
 	entries := make(map[fleet.UpstreamID]*Entry, len(list))
 	byService := make(map[fleet.ServiceID][]*Entry)
+	limits := slotLimits(list)
 	for _, r := range list {
+		r.Slots = min(r.Slots, limits[r.Service])
 		e, kind := t.register(now, r)
 		if kind != "" {
 			changes = append(changes, Change{ID: r.ID, Kind: kind})
@@ -152,6 +159,24 @@
 	return changes
 }
 
+// slotLimits returns the largest number of slots that an upstream of each service counts
+// as having. Of two upstreams, the one with fewer slots is the median.
+func slotLimits(list []Registration) map[fleet.ServiceID]fleet.Slots {
+	slots := make(map[fleet.ServiceID][]fleet.Slots)
+	for _, r := range list {
+		slots[r.Service] = append(slots[r.Service], r.Slots)
+	}
+	limits := make(map[fleet.ServiceID]fleet.Slots, len(slots))
+	for id, all := range slots {
+		slices.Sort(all)
+		limits[id] = all[(len(all)-1)/2]
+		if len(all) > 1 {
+			limits[id] *= maxSlotsRatio
+		}
+	}
+	return limits
+}
+
 // KeepMissing returns list with the known upstreams that it lacks, except those that
 // were draining.
 func (t *Table) KeepMissing(list []Registration) []Registration {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -218,3 +218,34 @@
 		t.Errorf("%d retries in total, want at least 1000", len(retries))
 	}
 }
+
+// Guards against an entry of an upstream that names far more slots than the others of its
+// service, and then takes nearly all of their load.
+func TestOneEntryCannotTakeTheLoad(t *testing.T) {
+	const n = 12
+	table := newTable("i", n)
+	list := registrations(n)
+	list[0].Slots = 1000
+	table.Replace(start, list)
+	sent := make(map[fleet.UpstreamID]int)
+	const requests = 2 * 6 * n // twice the slots of the service
+	for range requests {
+		e, _ := table.Choose(start, query)
+		table.Started(start, e)
+		sent[e.ID]++
+	}
+	if share := float64(sent["u0"]) / requests; share > 0.4 {
+		t.Errorf("%.0f%% of the requests were sent to the upstream of 12 that names 1000 slots: %v", 100*share, sent)
+	}
+	for _, want := range []fleet.Slots{6, 1000} { // the only upstream of a service, and one of two
+		table.Replace(start, list[:1])
+		if got := table.Get("u0").Slots; got != 1000 {
+			t.Errorf("the only upstream has %d slots, want 1000", got)
+		}
+		list[1].Slots = want
+		table.Replace(start, list[:2])
+		if got := table.Get("u0").Slots; got != min(1000, maxSlotsRatio*want) {
+			t.Errorf("one of two upstreams has %d slots, the other one %d", got, want)
+		}
+	}
+}
