--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -77,6 +78,7 @@
 	Source    []byte        // the configuration as encoded in the store
 	Evacuated map[fleet.ZoneID]bool
 	Revision  fleet.Revision // revision of the whole store; changes of other keys increase it too
+	Invalid   error          // why the newest stored configuration cannot be decoded; Table is then an older one
 }
 
 // Tag identifies the operator state. Instances compare tags to detect a difference.
@@ -85,6 +87,9 @@
 		return ""
 	}
 	zones := slices.Sorted(maps.Keys(o.Evacuated))
+	for i, zone := range zones {
+		zones[i] = fleet.ZoneID(url.QueryEscape(string(zone))) // a space would look like the end of the name
+	}
 	return fmt.Sprintf("%d %s", o.Table.Version, zones)
 }
 
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +23,7 @@
 	keyMoves        *prometheus.CounterVec   // by cause
 	closedConns     *prometheus.CounterVec   // by cause
 	droppedLogLines prometheus.Counter
+	invalidEntries  *prometheus.CounterVec // by kind
 
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
 	refreshGauges        func(now time.Time)
@@ -62,6 +64,9 @@
 			Name: "parsleyproxy_direct_log_lines_dropped_total", Help: "Log lines that were not written, since the output was too slow or the rate too high.",
 		}),
 	}
+	m.invalidEntries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyproxy_direct_invalid_entries_total", Help: "Entries in the store that were ignored because they are invalid, counted at each read.",
+	}, []string{"kind"})
 	m.knowledgeAge = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_knowledge_age_seconds", Help: "Time since what the instance knows was known to be true.",
 	}, []string{"of"})
@@ -75,7 +80,7 @@
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines)
+	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.upstreams)
 	return m
 }
@@ -118,21 +123,31 @@
 	m.upstreams.Reset()
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
-			m.upstreams.WithLabelValues(string(service), string(state)).Set(float64(n))
+			m.upstreams.WithLabelValues(serviceLabel(service), string(state)).Set(float64(n))
 		}
 	}
 }
 
+// serviceLabel returns the label value of a service. A label value that is not valid
+// UTF-8 makes the Prometheus client panic, which ends the process.
+func serviceLabel(id fleet.ServiceID) string {
+	return strings.ToValidUTF8(string(id), "\uFFFD")
+}
+
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(call, outcome string) { m.storeCalls.WithLabelValues(call, outcome).Inc() }
 
 // LogDropped counts a log line that was not written.
 func (m *Metrics) LogDropped() { m.droppedLogLines.Inc() }
 
+func (m *Metrics) countInvalid(kind entryKind, n int) {
+	m.invalidEntries.WithLabelValues(string(kind)).Add(float64(n))
+}
+
 func (m *Metrics) countMove(cause string) { m.keyMoves.WithLabelValues(cause).Inc() }
 
 func (m *Metrics) countRequest(service fleet.ServiceID, status int, reason string, took time.Duration) {
-	m.requestDuration.WithLabelValues(string(service)).Observe(took.Seconds())
+	m.requestDuration.WithLabelValues(serviceLabel(service)).Observe(took.Seconds())
 	m.answers.WithLabelValues(strconv.Itoa(status), reason).Inc()
 }
 
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// readBufferSize is the size in bytes of a connection's read buffer. Most requests
+	// serverReadBufferSize is the size in bytes of a connection's read buffer. Most requests
 	// fit into it.
-	readBufferSize = 4 << 10
+	serverReadBufferSize = 4 << 10
 	// writeChunkSize is the number of bytes that the peer has to read within
 	// WriteTimeout.
 	writeChunkSize = 64 << 10
@@ -39,7 +39,7 @@
 // serve reads requests until the connection ends.
 func (c *serverConn) serve() {
 	parser := nbhttp.NewParser(c, c.server.engine, nbhttp.NewServerProcessor(), false, c.execute)
-	buf := make([]byte, readBufferSize)
+	buf := make([]byte, serverReadBufferSize)
 	var err error
 	for err == nil {
 		var n int
