http1: do not cut a last response because of a request behind it

On a draining server, a request that arrives while the response is written that announces the close did not start, and the connection was closed in the middle of that response. A request that crossed the close of an idle connection was read and dropped, so that its caller could not tell that it may be repeated. Cause: the read loop asks whether the connection closes, then parses, without the lock in between; and an idle connection ended like one with a response. Change: a request is also rejected when it is enqueued if the connection closes, one that does not start writes nothing, and an idle connection is closed at once, which resets it if a request is on its way.

--- a/internal/http1/churn_test.go
+++ b/internal/http1/churn_test.go
@@ -9,6 +9,9 @@
 	"strconv"
 	"sync"
 	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Guards against a connection that the server closes without an answer although its
@@ -83,7 +86,11 @@
 	if _, err := fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\nLeaving: %d\r\n\r\n", client); err != nil {
 		return err
 	}
-	<-started
+	select {
+	case <-started:
+	case <-time.After(10 * time.Second):
+		return errors.New("the second request did not start")
+	}
 	return c.(*net.TCPConn).SetLinger(0)
 }
 
--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/google/go-cmp/cmp"
+	"github.com/lesismal/nbio/nbhttp"
 )
 
 // Guards against a caller that keeps pipelining requests while the server drains:
@@ -146,6 +147,61 @@
 	}
 }
 
+// Guards against a last response that is cut off because the caller sends another request
+// while it is written.
+func TestRequestDuringLastResponseDoesNotCutIt(t *testing.T) {
+	const size = 8 << 20
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(make([]byte, size))
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	s.Drain()
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	conn := waitForBusyConn(t, s)
+	waitFor(t, conn.isClosing) // the response is being written
+	// The test acts as a read loop that read another request just before.
+	parser := nbhttp.NewParser(conn, s.engine, nbhttp.NewServerProcessor(), false, conn.execute)
+	if err := parser.Parse([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, res.Body); err != nil || n != size {
+		t.Errorf("body of %d bytes, error %v; want %d bytes", n, err, size)
+	}
+}
+
+// Guards against a request that is read although its connection is being closed as idle:
+// a caller may only repeat a request that was not read.
+func TestRequestThatCrossesCloseIsNotRead(t *testing.T) {
+	s := listen(t, func(http.ResponseWriter, *http.Request) {})
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	conn := waitForOnlyConn(t, s)
+	later := time.Now().Add(time.Minute)
+	s.closeIdle(later, later.Add(-time.Minute), drainIdleTimeout, ClosedByServer)
+	waitFor(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return conn.closed
+	})
+	waitFor(t, func() bool {
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		return err != nil
+	})
+}
+
 // Guards against a connection that is closed without an answer because its request runs
 // for longer than WriteTimeout, which concerns the sending of a response.
 func TestRequestMayRunLongerThanWriteTimeout(t *testing.T) {
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -68,7 +68,7 @@
 	if s.draining.Load() && pipe.inFlight > 0 && !pipe.newest.responseStarted {
 		pipe.rejecting = true
 	}
-	if pipe.rejecting {
+	if pipe.rejecting || pipe.conn.closing {
 		return
 	}
 	slot := &responseSlot{pipeline: pipe, done: make(chan struct{}), waitBeforeRun: pipe.inFlight >= maxConcurrentPerConn}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -231,7 +231,7 @@
 	open := len(s.conns)
 	s.mu.Unlock()
 	for _, c := range expired {
-		_ = c.Close()
+		_ = c.Conn.Close() // a request that crosses the close stays unread, so that its caller may repeat it
 	}
 	return open
 }
@@ -259,7 +259,7 @@
 	x := &exchange{cancel: cancel, conn: connOf(w)}
 	ordered := &orderedWriter{ResponseWriter: w, server: s, request: r, exchange: x, slot: s.takeSlot(r)}
 	if !s.startRequest(x) {
-		_ = x.conn.Close()
+		_, _, _ = ordered.ResponseWriter.(http.Hijacker).Hijack() // keeps nbhttp from writing a response
 		return
 	}
 	defer s.endRequest(x)
@@ -285,8 +285,8 @@
 }
 
 // endRequest unregisters a request whose handler has returned. The end of its
-// response may still be unwritten; drainIdleTimeout leaves time for that before the
-// idle connection is closed.
+// response may still be unwritten; the connection counts as idle once finishSlot has
+// also been called.
 func (s *Server) endRequest(x *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
