http1: bound what a server reads from a caller ahead of its answers

Cause: nbhttp bounds a line, not a head, and the server bounded the requests that run, not those that are accepted. Change: bytes since the last complete request are limited to the body limit plus 1 MB, and the read loop waits while 16 requests are in flight. Such a connection, or one with malformed bytes, is closed at once if it owes no answer. Measured: TestEndlessHeadIsRejected, TestPipelineIsNotReadWithoutEnd (20,000 requests, all answered) pass with -race.

--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -317,3 +317,68 @@
 	})
 	return conn
 }
+
+// Guards against a caller that takes memory without end by a request head that does not
+// end.
+func TestEndlessHeadIsRejected(t *testing.T) {
+	s, err := Listen(ServerConfig{Addr: "127.0.0.1:0", MaxBody: 1 << 10, Handler: http.NotFoundHandler()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n")
+	line := "X: " + strings.Repeat("x", 1000) + "\r\n"
+	sent := 0
+	for ; sent < 64<<20; sent += len(line) {
+		if _, err := io.WriteString(c, line); err != nil {
+			break
+		}
+	}
+	// Besides the limit, the socket buffers take some megabytes.
+	if sent > 16<<20 {
+		t.Errorf("%d bytes of a request head were taken", sent)
+	}
+}
+
+// Guards against a caller that takes memory and goroutines without end by pipelining
+// requests whose responses it does not await.
+func TestPipelineIsNotReadWithoutEnd(t *testing.T) {
+	release := make(chan struct{})
+	var running atomic.Int32
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		running.Add(1)
+		<-release
+		_, _ = io.WriteString(w, "ok")
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	const get, count = "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 20_000
+	go func() { _, _ = io.WriteString(c, strings.Repeat(get, count)) }()
+	conn := waitForBusyConn(t, s)
+	waitFor(t, func() bool { return running.Load() == maxConcurrentPerConn })
+	s.mu.Lock()
+	accepted := conn.pipeline.inFlight
+	s.mu.Unlock()
+	if limit := maxConcurrentPerConn + serverReadBufferSize/len(get) + 1; accepted > limit {
+		t.Errorf("%d requests were accepted from a connection, want at most %d", accepted, limit)
+	}
+	close(release)
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	r := bufio.NewReader(c)
+	for i := range count {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", i, err)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+	}
+}
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -81,6 +81,7 @@
 	}
 	pipe.newest, pipe.pending = slot, slot
 	pipe.inFlight++
+	pipe.conn.unparsed = 0
 	pipe.rejecting = r.Close // no request may follow one that asks to close the connection
 	s.waitingSlots[r] = slot
 }
@@ -91,6 +92,7 @@
 	s.mu.Lock()
 	pipe := slot.pipeline
 	pipe.inFlight--
+	pipe.conn.slotFinished.Signal()
 	closeConn := pipe.rejecting && pipe.inFlight == 0
 	if closeConn {
 		pipe.conn.setClosing(ClosedByServer, true)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -148,7 +148,7 @@
 		return nil
 	}
 	c := &serverConn{Conn: nc, server: s, idleSince: time.Now(), inFlight: make(map[*exchange]struct{})}
-	c.pipeline.conn = c
+	c.pipeline.conn, c.slotFinished = c, sync.NewCond(&s.mu)
 	s.conns[c] = struct{}{}
 	return c
 }
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,12 +29,14 @@
 	server *Server
 
 	// The following fields are guarded by Server.mu.
-	pipeline  pipeline
-	inFlight  map[*exchange]struct{} // started requests
-	idleSince time.Time              // when the last request ended; not meaningful while requests are in flight
-	closing   bool                   // the server has closed the connection or is about to close it
-	closed    bool                   // the read loop has ended
-	cause     CloseCause             // why the connection closes; empty until that is known
+	slotFinished *sync.Cond // signalled by finishSlot
+	pipeline     pipeline
+	inFlight     map[*exchange]struct{} // started requests
+	unparsed     int                    // bytes read since the last complete request
+	idleSince    time.Time              // when the last request ended; not meaningful while requests are in flight
+	closing      bool                   // the server has closed the connection or is about to close it
+	closed       bool                   // the read loop has ended
+	cause        CloseCause             // why the connection closes; empty until that is known
 }
 
 // serve reads requests until the connection ends.
@@ -44,9 +47,10 @@
 	for err == nil {
 		var n int
 		n, err = c.Conn.Read(buf)
-		if n > 0 && !c.isClosing() && parser.Parse(buf[:n]) != nil {
+		if n > 0 && !c.isClosing() && (parser.Parse(buf[:n]) != nil || !c.withinReadLimit(n)) {
 			c.reject(ClosedInvalid)
 		}
+		c.awaitPipeline()
 	}
 	_ = c.Conn.Close()
 	parser.CloseAndClean(err)
@@ -59,6 +63,26 @@
 	return c.closing || c.pipeline.rejecting
 }
 
+// withinReadLimit counts n bytes that were read, and reports whether the request that
+// they belong to is within the limit. nbhttp limits each line and body, but not the
+// number of lines.
+func (c *serverConn) withinReadLimit(n int) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.unparsed += n
+	return c.unparsed <= c.server.engine.ReadLimit+serverReadBufferSize
+}
+
+// awaitPipeline waits until fewer than maxConcurrentPerConn requests are in flight, so
+// that a caller that pipelines without end is not read any further.
+func (c *serverConn) awaitPipeline() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	for c.pipeline.inFlight >= maxConcurrentPerConn {
+		c.slotFinished.Wait()
+	}
+}
+
 // reject makes the connection close after the responses to the requests in flight.
 func (c *serverConn) reject(cause CloseCause) {
 	c.server.mu.Lock()
@@ -67,7 +91,7 @@
 	closing := c.closing
 	c.server.mu.Unlock()
 	if closing {
-		_ = c.Close()
+		_ = c.Conn.Close()
 	}
 }
 
