http1: the write timeout of a server concerns a peer that reads nothing

Cause: the deadline covered a whole part of a response. Change: it is renewed while the peer reads. Measured: TestSlowReaderGetsWholeResponse and TestUnreadResponseClosesConn pass with -race.

--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -318,6 +319,46 @@
 	return conn
 }
 
+// Guards against a peer that reads slowly, but steadily, and has its response cut off.
+func TestSlowReaderGetsWholeResponse(t *testing.T) {
+	const size, writeTimeout = 1 << 20, 100 * time.Millisecond
+	s, err := Listen(ServerConfig{Addr: "127.0.0.1:0", WriteTimeout: writeTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(make([]byte, size))
+	})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10) })
+	}}
+	c, err := d.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	total := 0
+	tick := time.NewTicker(writeTimeout / 5)
+	defer tick.Stop()
+	for buf := make([]byte, 32<<10); ; <-tick.C {
+		n, err := io.ReadFull(res.Body, buf)
+		total += n
+		if err != nil {
+			break
+		}
+	}
+	if total != size {
+		t.Errorf("read %d bytes, want %d", total, size)
+	}
+}
+
 // Guards against a caller that takes memory without end by a request head that does not
 // end.
 func TestEndlessHeadIsRejected(t *testing.T) {
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -14,9 +14,6 @@
 	// serverReadBufferSize is the size in bytes of a connection's read buffer. Most requests
 	// fit into it.
 	serverReadBufferSize = 4 << 10
-	// writeChunkSize is the number of bytes that the peer has to read within
-	// WriteTimeout.
-	writeChunkSize = 64 << 10
 	// lingerTimeout is how long a connection that the server has closed is still read.
 	// Closing a socket that has unread bytes resets it, and the reset can overtake the
 	// last response.
@@ -123,18 +120,18 @@
 func (c *serverConn) Write(b []byte) (int, error) {
 	written := 0
 	for {
-		chunk := b[written:min(len(b), written+writeChunkSize)]
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout)); err != nil {
 			return written, err
 		}
-		n, err := c.Conn.Write(chunk)
+		n, err := c.Conn.Write(b[written:])
 		written += n
+		if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // the peer reads slowly
+		}
 		if err != nil {
 			c.writeFailed(err)
 		}
-		if err != nil || written == len(b) {
-			return written, err
-		}
+		return written, err
 	}
 }
 
