peer: accept further connections after a failed accept

An instance of serve that had no free descriptor once answered no other instance any more. Cause: the accept loop ended with any error. Change: only the close of the listener ends it. Measured: TestAcceptContinuesAfterError passes with -race.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,9 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
+// acceptRetryDelay is the delay after a failed accept.
+const acceptRetryDelay = 5 * time.Millisecond
+
 // Handler handles the calls of other instances. Its methods are called
 // concurrently.
 type Handler interface {
@@ -101,9 +104,13 @@
 func (s *Server) accept() {
 	for {
 		c, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // for example, the process has no free descriptors
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		go s.serve(c)
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -207,3 +208,39 @@
 		}
 	})
 }
+
+// failOnceListener fails its first accept as a process without free descriptors does.
+type failOnceListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failOnceListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against an instance that answers no other instance any more after it had no
+// free descriptor once.
+func TestAcceptContinuesAfterError(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &Server{listener: &failOnceListener{Listener: ln}, ctx: ctx, cancel: cancel}
+	go s.accept()
+	defer s.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Error("no handshake on the next connection:", err)
+	}
+}
