soak: upstreams listen in the run's own loopback network

Cause: while an upstream is down, its port of 127.0.0.1 can be taken by any connection or listener of the machine. Change: upstreams listen on an address in the run's own loopback network, as instances do.

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -32,6 +32,7 @@
 	t          *testing.T
 	rng        *rand.Rand
 	dir        string
+	network    string // first three bytes of the run's loopback addresses
 	store      *standin.Store
 	relays     *relay.Server
 	instances  []*instance
@@ -112,16 +113,17 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(env.relays.Close)
+	// Each run has a loopback network of its own, and each instance an address in it,
+	// because all instances use the same ports. Upstreams listen in it because a port of
+	// 127.0.0.1 can be taken by any connection while an upstream is down.
+	env.network = fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, seed%250)
 	env.config = initialConfig()
 	env.store.Put("op/config", env.config.encode())
 	for i := range 8 {
 		env.addUpstream([]string{"desk", "vault"}[i%2], zoneForIndex(i/2))
 	}
-	// Each run has a loopback network of its own, and each instance an address in it,
-	// because all instances use the same ports.
-	network := fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, seed%250)
 	for i := range count {
-		env.instances = append(env.instances, &instance{name: fmt.Sprint("front-", i+1), ip: fmt.Sprint(network, ".", i+1), zone: zoneForIndex(i), env: env})
+		env.instances = append(env.instances, &instance{name: fmt.Sprint("front-", i+1), ip: fmt.Sprint(env.network, ".", i+1), zone: zoneForIndex(i), env: env})
 	}
 	for _, in := range env.instances {
 		in.writeSettings(true)
@@ -147,7 +149,7 @@
 	work := 20 * time.Millisecond
 	var err error
 	u.Upstream, err = standin.StartUpstream(standin.UpstreamConfig{
-		ID: u.route, Service: service, Zone: zone, Sharded: service == "vault", ServiceTime: work,
+		ID: u.route, Service: service, Zone: zone, Sharded: service == "vault", ServiceTime: work, Addr: env.network + ".250:0",
 		OnStart: func(_ *standin.Upstream, r *http.Request) { env.executions.recordStart(env, u, r) },
 	})
 	if err == nil {
