standin/front: a store that is restored from a copy and counts eras

Cause: in a drill the platform's store may come back from a copy some seconds old and lose what it has acknowledged since. The stand-in could not play this, so no test covered it. Pending watches are cut, or answered 410 if their revision is lost; so is any watch after a revision that the store does not have. All answers, injected refusals included, carry Store-Era, which starts at 1. Writes delayed by Fault.ExecuteAfter run on the restored contents if their condition holds there.

--- a/internal/standin/front/store.go
+++ b/internal/standin/front/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,25 +18,44 @@
 // leaseSweepInterval is the time between two scans for expired leases.
 const leaseSweepInterval = 20 * time.Millisecond
 
+// eraHeader names the response header that counts the restorations of the store.
+const eraHeader = "Store-Era"
+
 // Store is an in-memory double of the platform's key-value store. It implements the
-// HTTP calls that parsleyproxy makes.
+// HTTP calls that parsleyproxy makes, and can be restored from a copy of its contents.
 type Store struct {
 	server   *http.Server
 	listener net.Listener
 	stop     chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	contents
+	era          int  // 1 at the start, one more after each restoration
+	leasesFrozen bool // leases do not expire while set
+	changed      chan struct{}
+	faultFor     func(call string) Fault
+	callCounts   map[string]int
+	external     map[string]ExternalWrite // last write of each key by operators and upstreams; not lost by a restoration
+	externalSeq  int                      // of the last external write
+}
+
+// contents is everything that a restoration replaces.
+type contents struct {
 	rev     int
 	items   map[string]item
 	removed map[string]int // revision at which each key was last removed
 	// droppedRev is the last revision that was dropped from the history. A watch
 	// from an earlier revision is answered with 410 Gone.
-	droppedRev   int
-	leases       map[int]lease
-	leasesFrozen bool // leases do not expire while set
-	changed      chan struct{}
-	faultFor     func(call string) Fault
-	callCounts   map[string]int
+	droppedRev int
+	leases     map[int]lease
+	applied    map[string]int // sequence number of the external write of each key that the contents include
+}
+
+// clone returns a copy that later writes do not change.
+func (c contents) clone() contents {
+	c.items, c.removed = maps.Clone(c.items), maps.Clone(c.removed)
+	c.leases, c.applied = maps.Clone(c.leases), maps.Clone(c.applied)
+	return c
 }
 
 // item is a stored value, with the revision of its last write and the id of its lease
@@ -69,8 +89,9 @@
 		return nil, err
 	}
 	s := &Store{
-		listener: ln, stop: make(chan struct{}), rev: 1, items: make(map[string]item), removed: make(map[string]int),
-		leases: make(map[int]lease), changed: make(chan struct{}), callCounts: make(map[string]int),
+		listener: ln, stop: make(chan struct{}), era: 1, changed: make(chan struct{}),
+		contents:   contents{rev: 1, items: make(map[string]item), removed: make(map[string]int), leases: make(map[int]lease), applied: make(map[string]int)},
+		callCounts: make(map[string]int), external: make(map[string]ExternalWrite),
 	}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.server.Serve(ln) }() // returns after Close
@@ -110,10 +131,19 @@
 	return s.callCounts[call]
 }
 
+// Value returns the value of a key, and whether the key exists.
+func (s *Store) Value(key string) (value string, exists bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, exists := s.items[key]
+	return it.value, exists
+}
+
 // Put writes a key without a lease, as operators do.
 func (s *Store) Put(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordExternal(ExternalWrite{Key: key, Value: value})
 	s.put(key, item{value: value})
 }
 
@@ -122,6 +152,13 @@
 func (s *Store) PutWithTTL(key, value string, ttl time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordExternal(ExternalWrite{Key: key, Value: value, TTL: ttl})
+	s.putWithTTL(key, value, ttl)
+}
+
+// putWithTTL writes a key with the lease that it has, or else with a new one. The caller
+// holds mu.
+func (s *Store) putWithTTL(key, value string, ttl time.Duration) {
 	id := s.items[key].lease
 	if id == 0 {
 		s.rev++
@@ -143,6 +180,7 @@
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordExternal(ExternalWrite{Key: key, Removed: true})
 	s.remove(key)
 }
 
@@ -208,6 +246,9 @@
 	for key, it := range s.items {
 		if it.lease == id {
 			s.remove(key)
+			if s.external[key].seq == s.applied[key] {
+				delete(s.external, key) // the writer is silent and does not write the key again
+			}
 		}
 	}
 }
@@ -222,6 +263,7 @@
 	if s.faultFor != nil {
 		f = s.faultFor(call)
 	}
+	era := s.era
 	s.mu.Unlock()
 	txn := decodeTxn(r)
 	switch {
@@ -232,25 +274,44 @@
 		time.AfterFunc(f.ExecuteAfter, func() { s.execute(call, r, txn) })
 		panic(http.ErrAbortHandler)
 	case f.Status != 0:
+		w.Header().Set(eraHeader, strconv.Itoa(era))
 		w.WriteHeader(f.Status)
 		return
 	}
 	time.Sleep(f.Delay)
-	status, body := s.execute(call, r, txn)
-	if call == "kv-watch" && status == http.StatusOK {
-		status, body = s.awaitEvents(r, status, body)
+	var a answer
+	if call == "kv-watch" {
+		a = s.awaitEvents(r)
+	} else {
+		a = s.execute(call, r, txn)
 	}
-	if f.DropResponse {
+	if f.DropResponse || a.cut {
 		panic(http.ErrAbortHandler)
 	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // fails if the client has closed the connection
+	w.Header().Set(eraHeader, strconv.Itoa(a.era))
+	w.WriteHeader(a.status)
+	_ = json.NewEncoder(w).Encode(a.body) // fails if the client has closed the connection
+}
+
+// answer is the answer to a call.
+type answer struct {
+	status int
+	body   any  // encoded as JSON
+	era    int  // in which the call was executed
+	cut    bool // close the connection without a response
 }
 
-// execute runs a call and returns the status and the JSON body of its answer.
-func (s *Store) execute(call string, r *http.Request, t txn) (int, any) {
+// execute runs a call.
+func (s *Store) execute(call string, r *http.Request, t txn) answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	status, body := s.executeLocked(call, r, t)
+	return answer{status: status, body: body, era: s.era}
+}
+
+// executeLocked runs a call and returns the status and the JSON body of its answer. The
+// caller holds mu.
+func (s *Store) executeLocked(call string, r *http.Request, t txn) (int, any) {
 	switch call {
 	case "kv-key":
 		key := r.URL.Query().Get("key")
@@ -266,8 +327,6 @@
 			}
 		}
 		return http.StatusOK, map[string]any{"items": list, "hasMore": false, "currentRev": s.rev}
-	case "kv-watch":
-		return s.eventsAfter(r)
 	case "kv-lease":
 		s.rev++
 		s.leases[s.rev] = lease{t.ttl, time.Now().Add(t.ttl)}
@@ -281,11 +340,13 @@
 }
 
 // eventsAfter returns the writes and removals under the requested prefix after the
-// requested revision. The caller holds mu.
+// requested revision. A revision that the store does not have, because it was lost by a
+// restoration and has not been given out again, is answered like one that was dropped
+// from the history. The caller holds mu.
 func (s *Store) eventsAfter(r *http.Request) (int, any) {
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	prefix := r.URL.Query().Get("prefix")
-	if after < s.droppedRev {
+	if after < s.droppedRev || after > s.rev {
 		return http.StatusGone, nil
 	}
 	events := []any{}
@@ -303,25 +364,32 @@
 }
 
 // awaitEvents answers a watch as soon as it has an event, or without events after the
-// waiting time that the client asked for (waitMs).
-func (s *Store) awaitEvents(r *http.Request, status int, body any) (int, any) {
+// waiting time that the client asked for (waitMs). If the store is restored meanwhile,
+// the watch is cut, or answered with 410 Gone if its revision was lost.
+func (s *Store) awaitEvents(r *http.Request) answer {
 	ms, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
 	defer timer.Stop()
+	startEra := 0
 	for {
 		s.mu.Lock()
 		changed := s.changed
-		status, body = s.eventsAfter(r)
+		a := answer{era: s.era}
+		a.status, a.body = s.eventsAfter(r)
 		s.mu.Unlock()
-		if page, ok := body.(map[string]any); !ok || len(page["events"].([]any)) > 0 {
-			return status, body
+		if startEra == 0 {
+			startEra = a.era
+		}
+		a.cut = a.era != startEra && a.status == http.StatusOK
+		if page, ok := a.body.(map[string]any); a.cut || !ok || len(page["events"].([]any)) > 0 {
+			return a
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return status, body
+			return a
 		case <-r.Context().Done():
-			return status, body
+			return a
 		}
 	}
 }
