standin/front: a log of accepted grants that finds broken rules of ownership

Cause: no test looked at fencing tokens: the rule says that a key moves to another upstream only with a token above all with which others had it, and a store that goes back to a copy makes lower tokens likely. Change: UpstreamConfig.Grants, shared by the upstreams of a service. GrantLog finds grants with a token that is not above that of another upstream, and grants of keys that another upstream holds, and traces the holders of a key. Upstreams answer 400 to spans that are no spans of keys.

--- a/internal/standin/front/upstream.go
+++ b/internal/standin/front/upstream.go
@@ -22,6 +22,7 @@
 	OnStart func(u *Upstream, r *http.Request)
 	// Handler, if not nil, handles requests in place of the default handler.
 	Handler func(w http.ResponseWriter, r *http.Request)
+	Grants  *GrantLog // records accepted grants; nil: none are recorded
 }
 
 // Upstream is a double of an upstream server of the platform.
@@ -88,6 +89,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.grants = nil
+	u.cfg.Grants.ended(u.cfg.ID, "crashes and loses", 0, keyCount-1)
 	_ = u.server.Close()
 }
 
@@ -223,7 +225,7 @@
 	if err == nil && r.URL.Path == "/api/grant" {
 		holdTime, err = time.ParseDuration(order.Hold)
 	}
-	if err != nil {
+	if err != nil || order.From < 0 || order.Target < order.From || order.Target >= keyCount {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -233,6 +235,7 @@
 		for _, h := range u.grants { // released keys keep an expired grant, so that their fencing token stays in force
 			if h.from <= order.Target && h.to >= order.From {
 				h.from, h.to, h.expiresAt = max(h.from, order.From), min(h.to, order.Target), time.Time{}
+				u.cfg.Grants.ended(u.cfg.ID, "releases", h.from, h.to)
 				u.grants = append(withoutKeys(u.grants, h.from, h.to), h)
 			}
 		}
@@ -245,7 +248,9 @@
 			return
 		}
 	}
-	u.grants = append(withoutKeys(u.grants, order.From, order.Target), grant{order.From, order.Target, order.Fence, receivedAt.Add(holdTime)})
+	g := grant{order.From, order.Target, order.Fence, receivedAt.Add(holdTime)}
+	u.grants = append(withoutKeys(u.grants, g.from, g.to), g)
+	u.cfg.Grants.granted(u.cfg.ID, g, receivedAt)
 }
 
 // withoutKeys returns grants without the keys from from to to, both included. It splits
