direct, keyspace, platform: revisions that grow when the store is restored

Cause: a store that comes back from a copy gives the same revisions out again. Instances compared them: changes by operators were ignored until the store had counted up to the last revision before (CONFIG); the term of a leader, and with it the version of its map of holders, went back; a leader whose record was gone ended, and the next one took holders and fencing tokens from the older record of the copy (OWNER). A fleet.Revision contains the era, so that revisions, terms and map versions grow. A call that refers to a revision or a lease of an earlier era fails with ErrRestored, also if the store has accepted it. Fencing tokens of an era begin above all of earlier ones. The leader, which alone knows who holds which keys, has itself elected again once most instances have reported to it since, and stores its record again before it moves keys; a leader key of an earlier era is void. A leader that is elected without this knowledge grants no key until all grants of the former one have expired (about 6 s). A newer configuration counts whatever its revision. Other versions of the program: an instance without eras follows a leader with them and the reverse; record and leader key keep their format with one more field.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -106,16 +106,18 @@
 	Revision fleet.Revision
 }
 
-// LeaseID identifies a lease in the store. Keys bound to a lease are deleted when it
-// ends.
-type LeaseID uint64
+// Lease identifies a lease in the store. Keys bound to a lease are deleted when it ends.
+type Lease struct {
+	Era fleet.Era
+	ID  uint64 // in its era; 0: none
+}
 
 // Write is a conditional write of one key.
 type Write struct {
 	Key    string
 	Value  []byte
 	Expect fleet.Revision // required revision of the key; 0: the key must not exist
-	Lease  LeaseID
+	Lease  Lease
 }
 
 // Condition requires a key to have a certain revision.
@@ -130,13 +132,24 @@
 	ErrConflict   = errors.New("a condition of the write is not met")
 	ErrLeaseEnded = errors.New("the lease has expired or was ended")
 	ErrRefused    = errors.New("the store refused the call without executing it")
+	// ErrRestored means that the call refers to a revision or a lease of an era that has
+	// ended: the store has been restored from a copy since. The call may have been executed.
+	ErrRestored = errors.New("the store has been restored from a copy")
 )
 
-// Store is the platform's key-value service.
+// UpstreamList is the list of registered upstreams.
+type UpstreamList struct {
+	Era       fleet.Era
+	Upstreams []balance.Registration
+	Invalid   []error // one for each registration that cannot be decoded, which Upstreams lacks
+}
+
+// Store is the platform's key-value service. Its revisions grow even if it is restored
+// from a copy and loses its last writes. A call that refers to a revision or a lease of
+// an earlier era returns ErrRestored.
 type Store interface {
-	// Upstreams lists all registered upstreams. It omits registrations that it cannot
-	// decode and returns an error for each in unreadable.
-	Upstreams(ctx context.Context) (list []balance.Registration, unreadable []error, err error)
+	// Upstreams lists all registered upstreams.
+	Upstreams(ctx context.Context) (UpstreamList, error)
 	// ReadOperatorState reads the complete operator state.
 	ReadOperatorState(ctx context.Context) (OperatorState, error)
 	// WatchOperatorState waits up to wait for changes after cur.Revision and returns
@@ -146,10 +159,10 @@
 	Get(ctx context.Context, key string) (Item, error)
 	// Put executes w if its condition and all others are met, else it returns ErrConflict.
 	Put(ctx context.Context, w Write, also ...Condition) (fleet.Revision, error)
-	NewLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	NewLease(ctx context.Context, ttl time.Duration) (Lease, error)
 	// RenewLease renews a lease. It returns ErrLeaseEnded if the lease has ended.
-	RenewLease(ctx context.Context, id LeaseID) error
-	EndLease(ctx context.Context, id LeaseID) error
+	RenewLease(ctx context.Context, l Lease) error
+	EndLease(ctx context.Context, l Lease) error
 }
 
 // HolderClient sends grants and releases of keys to upstreams.
--- a/internal/direct/elect.go
+++ b/internal/direct/elect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -53,7 +54,7 @@
 // leadership if this instance was elected, and nil if another one leads.
 func (r *Router) findLeader(ctx context.Context) *leadership {
 	for ctx.Err() == nil {
-		info, err := r.readLeader(ctx)
+		info, _, err := r.readLeader(ctx)
 		switch {
 		case err == nil && r.isSilentLeader(info):
 			sleep(ctx, leaderKeyPoll)
@@ -96,8 +97,11 @@
 	return info.term == r.leader.term && time.Since(r.leader.heardAt) < longPollWait(len(r.instances))+leaderSilenceMargin+leaderLeaseTTL
 }
 
-// readLeader reads the leader key.
-func (r *Router) readLeader(ctx context.Context) (leaderInfo, error) {
+// readLeader reads the leader key, and also returns its revision. It returns ErrNotFound
+// if the key does not exist, or if the store has been restored from a copy since the
+// leader was elected: the election does not bind the restored store, which may lack the
+// election of a successor.
+func (r *Router) readLeader(ctx context.Context) (leaderInfo, fleet.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	it, err := r.platform.Store.Get(ctx, leaderKey)
@@ -105,13 +109,22 @@
 		r.noteStoreResult(time.Now(), err)
 	}
 	if err != nil {
-		return leaderInfo{}, err
+		return leaderInfo{}, 0, err
 	}
 	fields := strings.Fields(string(it.Value))
 	if len(fields) != 3 {
-		return leaderInfo{}, errors.Errorf("%s: want an instance ID, an address and a lease ID, not %q", leaderKey, it.Value)
+		return leaderInfo{}, 0, errors.Errorf("%s: want an instance ID, an address and a lease ID, not %q", leaderKey, it.Value)
 	}
-	return leaderInfo{id: fleet.InstanceID(fields[0]), addr: fields[1], term: uint64(it.Revision), heardAt: time.Now()}, nil
+	if _, era, known := strings.Cut(fields[2], "/"); known && era != strconv.FormatUint(uint64(it.Revision.Era()), 10) {
+		return leaderInfo{}, it.Revision, ErrNotFound
+	}
+	return leaderInfo{id: fleet.InstanceID(fields[0]), addr: fields[1], term: it.Revision, heardAt: time.Now()}, it.Revision, nil
+}
+
+// leaderValue returns the value of the leader key. The era states in which the lease is
+// valid; a restored store contains keys of earlier eras.
+func (r *Router) leaderValue(l Lease) string {
+	return fmt.Sprintf("%s %s %d/%d", r.cfg.Instance, r.cfg.PeerListen, l.ID, l.Era)
 }
 
 func (r *Router) setLeader(info leaderInfo) {
@@ -127,40 +140,54 @@
 	}
 }
 
-// campaign tries to become the leader: it waits for its candidacy delay, acquires a
-// lease, writes the leader key and loads the ownership record. It returns ErrConflict if
-// there is another leader.
-func (r *Router) campaign(ctx context.Context) (*leadership, error) {
-	r.mu.Lock()
-	delay := candidacyDelay(r.cfg.CPUCores, len(r.instances)) + time.Duration(r.rng.Int64N(int64(electionJitter)))
-	r.mu.Unlock()
-	sleep(ctx, delay)
-	if _, err := r.readLeader(ctx); !errors.Is(err, ErrNotFound) {
-		if err == nil {
-			err = ErrConflict
-		}
-		return nil, err
+// election is a successful election of this instance.
+type election struct {
+	term       fleet.Revision // of the leader key
+	lease      Lease
+	validUntil time.Duration // on the clock of bootClock
+}
+
+// elect makes this instance the leader: it acquires a lease and writes the leader key. It
+// returns ErrConflict if there is another leader.
+func (r *Router) elect(ctx context.Context) (election, error) {
+	_, key, err := r.readLeader(ctx)
+	if err == nil {
+		err = ErrConflict
+	}
+	if !errors.Is(err, ErrNotFound) {
+		return election{}, err
 	}
-	callCtx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
 	requestedAt := bootClock()
-	lease, err := r.platform.Store.NewLease(callCtx, max(leaderLeaseTTL, r.cfg.MinLeaseTTL))
+	lease, err := r.platform.Store.NewLease(ctx, max(leaderLeaseTTL, r.cfg.MinLeaseTTL))
 	if err != nil {
-		return nil, err
+		return election{}, err
 	}
 	validUntil := requestedAt + leaderLeaseTTL - leaseMargin
-	value := fmt.Sprintf("%s %s %d", r.cfg.Instance, r.cfg.PeerListen, lease)
-	rev, err := r.putLeaderKey(callCtx, Write{Key: leaderKey, Value: []byte(value), Lease: lease}, validUntil)
+	term, err := r.putLeaderKey(ctx, Write{Key: leaderKey, Value: []byte(r.leaderValue(lease)), Expect: key, Lease: lease}, validUntil)
+	return election{term: term, lease: lease, validUntil: validUntil}, err
+}
+
+// campaign tries to become the leader: it waits for its candidacy delay, has itself
+// elected and loads the ownership record. It returns ErrConflict if there is another
+// leader.
+func (r *Router) campaign(ctx context.Context) (*leadership, error) {
+	r.mu.Lock()
+	delay := candidacyDelay(r.cfg.CPUCores, len(r.instances)) + time.Duration(r.rng.Int64N(int64(electionJitter)))
+	r.mu.Unlock()
+	sleep(ctx, delay)
+	won, err := r.elect(ctx)
 	if err != nil {
 		return nil, err
 	}
 	l := &leadership{
-		term: uint64(rev), lease: lease, validUntil: validUntil,
+		term: won.term, lease: won.lease, validUntil: won.validUntil, elections: make(chan electionResult, 1),
 		callResults: make(chan callResult, 64), saveResults: make(chan saveResult, 1), renewResults: make(chan renewResult, 1),
 		reports: make(chan report, 64), members: make(map[fleet.InstanceID]member), startedAt: time.Now(), stop: make(chan struct{}),
 	}
 	record, recordRev, err := r.readOwnership(ctx)
-	for err != nil && bootClock() < validUntil && ctx.Err() == nil {
+	for err != nil && bootClock() < won.validUntil && ctx.Err() == nil {
 		r.log.Warn("reading the ownership record failed", "error", err, "term", l.term)
 		sleep(ctx, storeRetryDelay)
 		record, recordRev, err = r.readOwnership(ctx)
@@ -168,19 +195,36 @@
 	if err != nil {
 		return nil, err
 	}
+	if recordRev == 0 && r.isFirstElection(l.term) {
+		record.Era = l.term.Era()
+	}
+	if record.Era != l.term.Era() {
+		r.log.Warn("ownership record is from before the store was restored", "record-era", uint64(record.Era), "term", l.term)
+	}
 	l.recordRev, l.recordedInstances, l.recordedCount = recordRev, record.Instances, len(record.Instances)
 	l.coordinator = keyspace.NewCoordinator(time.Now(), l.term, keyspace.Timing{Hold: min(grantTTL, r.cfg.MaxGrantTTL), Renew: grantRenewInterval, Retry: grantRetryDelay}, record)
 	return l, nil
 }
 
+// isFirstElection reports whether no leader has been elected before the given term: the
+// whole fleet has started for the first time, and this instance knows no leader from
+// before a restoration of the store.
+func (r *Router) isFirstElection(term fleet.Revision) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cfg.FirstStart && (r.leader.term == 0 || r.leader.term.Era() == term.Era())
+}
+
 // putLeaderKey writes the leader key. If the answer is lost, it reads the key to find
 // out whether the write was executed: the value contains the lease ID, so no other
 // write has the same one.
 func (r *Router) putLeaderKey(ctx context.Context, w Write, validUntil time.Duration) (fleet.Revision, error) {
 	rev, err := r.platform.Store.Put(ctx, w)
-	for err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrRefused) && bootClock() < validUntil && ctx.Err() == nil {
+	for err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrRefused) && !errors.Is(err, ErrRestored) && bootClock() < validUntil && ctx.Err() == nil {
 		it, readErr := r.platform.Store.Get(ctx, w.Key)
 		switch {
+		case readErr == nil && it.Revision.Era() != w.Lease.Era:
+			return 0, ErrRestored
 		case readErr == nil && string(it.Value) == string(w.Value):
 			return it.Revision, nil
 		case readErr == nil:
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 )
 
@@ -127,16 +129,19 @@
 		if err != nil {
 			r.log.Debug("reading the operator state failed", "error", err, "whole", !known, "after", time.Since(requestedAt))
 			known = false
+			if errors.Is(err, ErrRestored) {
+				continue // the complete state can be read at once
+			}
 			sleep(ctx, delay)
 			delay = min(2*delay, maxStoreRetryDelay)
 			r.awaitOperatorReadDue(ctx) // the leader may send the state meanwhile
 			continue
 		}
 		delay = storeRetryDelay
-		known = true
 		if next.Invalid != nil {
 			r.noteInvalid(time.Now(), entryConfiguration, []error{next.Invalid})
 		}
+		known = true
 		r.setOperatorState(time.Now(), next)
 		if !r.isLeader() {
 			sleep(ctx, storeRetryDelay) // bounds the rate of store calls under frequent changes
@@ -150,8 +155,13 @@
 	r.mu.Lock()
 	cur := r.operatorState.Load()
 	if cur != nil && next.Revision < cur.Revision {
-		r.mu.Unlock()
-		return
+		// A newer configuration counts nevertheless: the store may have been restored from
+		// a copy, so that this instance has read an older one at a later revision.
+		if next.Table == nil || cur.Table != nil && next.Table.Version <= cur.Table.Version {
+			r.mu.Unlock()
+			return
+		}
+		next.Evacuated, next.Revision = cur.Evacuated, cur.Revision
 	}
 	if cur != nil && cur.Table != nil && (next.Table == nil || next.Table.Version < cur.Table.Version) {
 		next.Table, next.Source = cur.Table, cur.Source // a configuration is never replaced by an older one
@@ -207,7 +217,7 @@
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		list, unreadable, err := r.platform.Store.Upstreams(callCtx)
+		list, err := r.platform.Store.Upstreams(callCtx)
 		cancel()
 		r.noteStoreResult(time.Now(), err)
 		if err != nil {
@@ -218,11 +228,11 @@
 			continue
 		}
 		delay = storeRetryDelay
-		r.noteInvalid(time.Now(), entryUpstream, unreadable)
+		r.noteInvalid(time.Now(), entryUpstream, list.Invalid)
 		r.mu.Lock()
 		r.listFromStore = true
 		r.mu.Unlock()
-		r.setUpstreams(time.Now(), requestedAt, list)
+		r.setUpstreams(time.Now(), requestedAt, list.Upstreams)
 		r.awaitListReadDue(ctx)
 	}
 }
--- a/internal/direct/follow_test.go
+++ b/internal/direct/follow_test.go
@@ -17,9 +17,9 @@
 	calls atomic.Int32
 }
 
-func (s *rejectingStore) Upstreams(context.Context) ([]balance.Registration, []error, error) {
+func (s *rejectingStore) Upstreams(context.Context) (UpstreamList, error) {
 	s.calls.Add(1)
-	return nil, nil, ErrRefused
+	return UpstreamList{}, ErrRefused
 }
 
 func (s *rejectingStore) ReadOperatorState(context.Context) (OperatorState, error) {
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -64,16 +64,20 @@
 type leaderInfo struct {
 	id      fleet.InstanceID
 	addr    string
-	term    uint64    // revision of the leader key
-	heardAt time.Time // last answer, or when the leader was found
+	term    fleet.Revision // of the leader key
+	heardAt time.Time      // last answer, or when the leader was found
 }
 
 // leadership is the state of the leading instance. Only the loop in Router.lead uses
-// coordinator.
+// coordinator. Router.mu guards term, lease and validUntil, which that loop changes.
 type leadership struct {
-	term              uint64 // revision of the leader key
-	lease             LeaseID
-	validUntil        time.Duration // on the clock of bootClock; guarded by Router.mu, as other goroutines read it
+	term              fleet.Revision // of the leader key
+	lease             Lease
+	validUntil        time.Duration // on the clock of bootClock
+	restoredAt        time.Time     // when the leader learned that its lease is from an earlier era of the store; zero if it is not
+	electing          bool
+	electionDue       time.Time
+	elections         chan electionResult
 	coordinator       *keyspace.Coordinator
 	recordRev         fleet.Revision // revision of the stored ownership record
 	callResults       chan callResult
@@ -114,6 +118,7 @@
 
 // saveResult is the result of a write of the ownership record.
 type saveResult struct {
+	term     fleet.Revision // in which the write was started
 	rev      fleet.Revision // of the stored record
 	err      error
 	onStored func() // called if err is nil
@@ -145,9 +150,12 @@
 		return
 	}
 	l.end()
+	r.mu.Lock()
+	lease := l.lease
+	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	if err := r.platform.Store.EndLease(ctx, l.lease); err != nil {
+	if err := r.platform.Store.EndLease(ctx, lease); err != nil {
 		r.log.Warn("ending the leader lease failed", "error", err)
 	}
 }
@@ -186,12 +194,11 @@
 			if errors.Is(res.err, ErrLeaseEnded) {
 				return
 			}
-			if res.err == nil {
-				r.mu.Lock()
-				l.validUntil = res.sentAt + leaderLeaseTTL - leaseMargin
-				r.mu.Unlock()
+			r.handleRenewal(time.Now(), l, res)
+		case res := <-l.elections:
+			if !r.handleElection(time.Now(), l, res) {
+				return
 			}
-			r.noteStoreResult(time.Now(), res.err)
 		case rep := <-l.reports:
 			r.applyReport(time.Now(), l, rep)
 		case <-tick.C:
@@ -206,13 +213,17 @@
 // longer.
 func (r *Router) leadStep(ctx context.Context, l *leadership) bool {
 	now := time.Now()
-	if !now.Before(l.renewDue) && !l.renewing {
-		l.renewing, l.renewDue = true, now.Add(leaseRenewInterval)
-		go r.renewLease(ctx, l)
-	}
 	leaseValid := bootClock() < l.validUntil
-	if !leaseValid && !r.storeDownForAll(now, l) {
-		return false
+	if !l.restoredAt.IsZero() {
+		leaseValid = false
+		if !r.seekReelection(ctx, now, l) {
+			return false
+		}
+	} else {
+		r.renewIfDue(ctx, now, l)
+		if !leaseValid && !r.storeDownForAll(now, l) {
+			return false
+		}
 	}
 	if !now.Before(l.planDue) {
 		l.planDue = now.Add(planInterval)
@@ -261,12 +272,33 @@
 	return reporting*2 > len(l.members)
 }
 
-func (r *Router) renewLease(ctx context.Context, l *leadership) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	sentAt := bootClock()
-	err := r.platform.Store.RenewLease(ctx, l.lease)
-	l.renewResults <- renewResult{sentAt: sentAt, err: err}
+// renewIfDue starts a renewal of the leader's lease if one is due.
+func (r *Router) renewIfDue(ctx context.Context, now time.Time, l *leadership) {
+	if l.renewing || now.Before(l.renewDue) {
+		return
+	}
+	l.renewing, l.renewDue = true, now.Add(leaseRenewInterval)
+	lease := l.lease
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		sentAt := bootClock()
+		err := r.platform.Store.RenewLease(ctx, lease)
+		l.renewResults <- renewResult{sentAt: sentAt, err: err}
+	}()
+}
+
+// handleRenewal processes the outcome of a renewal of the leader's lease.
+func (r *Router) handleRenewal(now time.Time, l *leadership, res renewResult) {
+	switch {
+	case res.err == nil:
+		r.mu.Lock()
+		l.validUntil = res.sentAt + leaderLeaseTTL - leaseMargin
+		r.mu.Unlock()
+	case errors.Is(res.err, ErrRestored):
+		r.noteRestored(now, l)
+	}
+	r.noteStoreResult(now, res.err)
 }
 
 // saveRecord stores the ownership record if it has changed.
@@ -280,10 +312,10 @@
 	}
 	l.saving = true
 	w := Write{Key: ownershipKey, Value: record.Encode(), Expect: l.recordRev}
-	condition := Condition{Key: leaderKey, Expect: fleet.Revision(l.term)}
+	term := l.term
 	go func() {
-		rev, err := r.putWithRetry(ctx, l, w, condition)
-		l.saveResults <- saveResult{rev: rev, err: err, onStored: onStored}
+		rev, err := r.putWithRetry(ctx, l, w, Condition{Key: leaderKey, Expect: term})
+		l.saveResults <- saveResult{term: term, rev: rev, err: err, onStored: onStored}
 	}()
 }
 
@@ -303,10 +335,10 @@
 			}
 		}
 		cancel()
-		if err == nil || errors.Is(err, ErrConflict) || ctx.Err() != nil {
+		if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrRestored) || ctx.Err() != nil {
 			return rev, err
 		}
-		r.log.Warn("storing the ownership record failed", "error", err, "term", l.term)
+		r.log.Warn("storing the ownership record failed", "error", err, "term", condition.Expect)
 		select {
 		case <-l.stop:
 			return 0, err
@@ -322,9 +354,17 @@
 }
 
 // handleSaveResult processes the outcome of a write of the ownership record. It returns
-// false if the write failed, since another instance may lead.
+// false if the write failed, since another instance may lead. After a restoration of the
+// store the record is stored once this instance has been elected again.
 func (r *Router) handleSaveResult(l *leadership, res saveResult) bool {
 	l.saving = false
+	if res.term != l.term {
+		return true
+	}
+	if errors.Is(res.err, ErrRestored) {
+		r.noteRestored(time.Now(), l)
+		return true
+	}
 	if res.err != nil {
 		r.log.Warn("storing the ownership record failed", "error", res.err, "term", l.term)
 		return false
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -52,6 +52,30 @@
 	return out, err
 }
 
+// encodeRevision encodes the number and the era of a revision as two fields. Era 0 is
+// omitted.
+func encodeRevision(e *jx.Encoder, number, era string, r fleet.Revision) {
+	e.FieldStart(number)
+	e.UInt64(r.Number())
+	if r.Era() > 0 {
+		e.FieldStart(era)
+		e.UInt64(uint64(r.Era()))
+	}
+}
+
+// decodeNumber sets the number of r, and decodeEra its era.
+func decodeNumber(d *jx.Decoder, r *fleet.Revision) error {
+	n, err := d.UInt64()
+	*r = fleet.NewRevision(r.Era(), n)
+	return err
+}
+
+func decodeEra(d *jx.Decoder, r *fleet.Revision) error {
+	n, err := d.UInt64()
+	*r = fleet.NewRevision(fleet.Era(n), r.Number())
+	return err
+}
+
 func (r report) encode() []byte {
 	var e jx.Encoder
 	e.ObjStart()
@@ -59,16 +83,14 @@
 	e.Str(string(r.Instance))
 	e.FieldStart("addr")
 	e.Str(r.Addr)
-	e.FieldStart("term")
-	e.UInt64(r.MapVersion.Term)
+	encodeRevision(&e, "term", "era", r.MapVersion.Term)
 	e.FieldStart("map")
 	e.UInt64(r.MapVersion.Seq)
 	e.FieldStart("store-age-ms")
 	e.Int64(r.StoreAge.Milliseconds())
 	e.FieldStart("instances")
 	e.UInt64(r.InstancesHash)
-	e.FieldStart("list-term")
-	e.UInt64(r.ListTerm)
+	encodeRevision(&e, "list-term", "list-era", r.ListTerm)
 	e.FieldStart("list")
 	e.UInt64(r.ListSeq)
 	e.FieldStart("operator-seq")
@@ -114,7 +136,9 @@
 		case "addr":
 			r.Addr, err = d.Str()
 		case "term":
-			r.MapVersion.Term, err = d.UInt64()
+			err = decodeNumber(d, &r.MapVersion.Term)
+		case "era":
+			err = decodeEra(d, &r.MapVersion.Term)
 		case "map":
 			r.MapVersion.Seq, err = d.UInt64()
 		case "store-age-ms":
@@ -122,7 +146,9 @@
 		case "instances":
 			r.InstancesHash, err = d.UInt64()
 		case "list-term":
-			r.ListTerm, err = d.UInt64()
+			err = decodeNumber(d, &r.ListTerm)
+		case "list-era":
+			err = decodeEra(d, &r.ListTerm)
 		case "list":
 			r.ListSeq, err = d.UInt64()
 		case "operator-seq":
@@ -155,8 +181,7 @@
 func (r reply) encode() []byte {
 	var e jx.Encoder
 	e.ObjStart()
-	e.FieldStart("term")
-	e.UInt64(r.Term)
+	encodeRevision(&e, "term", "era", r.Term)
 	if len(r.Members) > 0 {
 		e.FieldStart("instances")
 		fleet.EncodePeers(&e, r.Members)
@@ -167,8 +192,7 @@
 	e.FieldStart("operator-seq")
 	e.UInt64(r.OperatorSeq)
 	if r.OperatorRevision > 0 {
-		e.FieldStart("operator-revision")
-		e.UInt64(uint64(r.OperatorRevision))
+		encodeRevision(&e, "operator-revision", "operator-era", r.OperatorRevision)
 		e.FieldStart("evacuated")
 		e.ArrStart()
 		for _, zone := range r.Evacuated {
@@ -233,7 +257,9 @@
 	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, field string) (err error) {
 		switch field {
 		case "term":
-			r.Term, err = d.UInt64()
+			err = decodeNumber(d, &r.Term)
+		case "era":
+			err = decodeEra(d, &r.Term)
 		case "instances":
 			r.Members, err = fleet.DecodePeers(d)
 		case "demand":
@@ -243,9 +269,9 @@
 		case "operator-seq":
 			r.OperatorSeq, err = d.UInt64()
 		case "operator-revision":
-			var n uint64
-			n, err = d.UInt64()
-			r.OperatorRevision = fleet.Revision(n)
+			err = decodeNumber(d, &r.OperatorRevision)
+		case "operator-era":
+			err = decodeEra(d, &r.OperatorRevision)
 		case "evacuated":
 			err = d.Arr(func(d *jx.Decoder) error {
 				s, err := d.Str()
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -31,6 +31,7 @@
 	leading              prometheus.Gauge
 	instances            prometheus.Gauge
 	configurationVersion prometheus.Gauge
+	storeEra             prometheus.Gauge
 	upstreams            *prometheus.GaugeVec // by service, state
 }
 
@@ -77,11 +78,14 @@
 	m.configurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_configuration_version", Help: "Version of the configuration in force; 0 if there is none.",
 	})
+	m.storeEra = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "parsleyproxy_direct_store_era", Help: "How often the store was restored from a copy, as this instance knows it.",
+	})
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries)
-	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.upstreams)
+	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.storeEra, m.upstreams)
 	return m
 }
 
@@ -120,6 +124,7 @@
 	if op := r.operatorState.Load(); op != nil && op.Table != nil {
 		m.configurationVersion.Set(float64(op.Table.Version))
 	}
+	m.storeEra.Set(float64(r.leader.term.Era()))
 	m.upstreams.Reset()
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -89,7 +89,9 @@
 		case "addr":
 			info.addr, err = d.Str()
 		case "term":
-			info.term, err = d.UInt64()
+			err = decodeNumber(d, &info.term)
+		case "era":
+			err = decodeEra(d, &info.term)
 		default:
 			err = d.Skip()
 		}
@@ -114,8 +116,7 @@
 	e.Str(string(info.id))
 	e.FieldStart("addr")
 	e.Str(info.addr)
-	e.FieldStart("term")
-	e.UInt64(info.term)
+	encodeRevision(&e, "term", "era", info.term)
 	e.ObjEnd()
 	if _, err := w.Write(e.Bytes()); err != nil {
 		r.log.Debug("sending the leader to another instance failed", "error", err)
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -143,7 +143,7 @@
 		t.Error("recorded map is kept as a base for changes")
 	}
 	r.loadOwnership(t.Context())
-	if diff := cmp.Diff(uint64(1), r.holderMap.Load().Version.Term); diff != "" {
+	if diff := cmp.Diff(fleet.Revision(1), r.holderMap.Load().Version.Term); diff != "" {
 		t.Error("the recorded map replaced the leader's map:", diff)
 	}
 }
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -72,7 +72,7 @@
 	ServiceTimes  map[fleet.UpstreamID]balance.Samples // only of sharded services
 	StoreAge      time.Duration                        // time since the sender's last successful store call
 	InstancesHash uint64                               // fingerprint of the instances that the sender knows
-	ListTerm      uint64                               // term of the leader that sent the sender's list of upstreams
+	ListTerm      fleet.Revision                       // term of the leader that sent the sender's list of upstreams
 	ListSeq       uint64                               // version of this list
 	OperatorSeq   uint64                               // last version of the operator state received from this leader
 	OperatorTag   string                               // tag of the sender's operator state
@@ -80,7 +80,7 @@
 
 // reply is the leader's answer to a report.
 type reply struct {
-	Term uint64
+	Term fleet.Revision
 	// MapVersion is 0 if the instance has the current holder map. Else MapSpans holds
 	// the changes from the instance's map, or the whole map if WholeMap is set.
 	MapVersion keyspace.MapVersion
@@ -169,6 +169,14 @@
 	if err != nil {
 		return err
 	}
+	if rp.Term.Era() == 0 { // sent by a version that does not state the era
+		rp.Term = fleet.NewRevision(info.term.Era(), rp.Term.Number())
+		rp.MapVersion.Term = rp.Term
+	}
+	if info.term < rp.Term { // elected again after a restoration of the store
+		info.term, info.heardAt = rp.Term, time.Now()
+		r.setLeader(info)
+	}
 	if rp.Term != info.term {
 		return notLeaderError{info.id}
 	}
@@ -312,7 +320,7 @@
 // reply returns the reply to rep, with the state that its sender lacks.
 func (r *Router) reply(l *leadership, rep report) reply {
 	now := time.Now()
-	rp := reply{Term: l.term}
+	var rp reply
 	op := r.operatorState.Load()
 	rp.OperatorTag = op.Tag()
 	if op != nil && op.Table != nil && rep.OperatorTag != rp.OperatorTag {
@@ -323,7 +331,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rp.OperatorSeq = r.operatorSeq
+	rp.Term, rp.OperatorSeq = l.term, r.operatorSeq
 	if m := r.holderMap.Load(); m != nil && rep.MapVersion.Less(m.Version) {
 		rp.MapVersion = m.Version
 		if old := r.recentMaps[rep.MapVersion]; old != nil {
--- /dev/null
+++ b/internal/direct/restored_test.go
@@ -0,0 +1,106 @@
+package direct
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/routes"
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+func operatorState(era fleet.Era, number uint64, version routes.Version, evacuated ...fleet.ZoneID) OperatorState {
+	op := OperatorState{Table: routes.NewTable(version, nil, nil, nil, nil), Revision: fleet.NewRevision(era, number), Evacuated: make(map[fleet.ZoneID]bool)}
+	for _, zone := range evacuated {
+		op.Evacuated[zone] = true
+	}
+	return op
+}
+
+// Guards against an instance that ignores all changes by operators after the store was
+// restored, because its revisions are lower than before, and against one that goes back
+// to the older configuration of the copy.
+func TestOperatorStateAfterRestoration(t *testing.T) {
+	r, _ := newRouter(t, "a")
+	now := time.Now()
+	for _, step := range []struct {
+		what  string
+		state OperatorState
+		want  string
+	}{
+		{"before the restoration", operatorState(1, 90, 7), "7 []"},
+		{"the copy has an older configuration", operatorState(2, 40, 5), "7 []"},
+		{"the next configuration has a lower number", operatorState(2, 44, 8), "8 []"},
+		{"a newer configuration arrives late, of the earlier era", operatorState(1, 95, 9), "9 []"},
+		{"an older state of the earlier era", operatorState(1, 95, 6, "z"), "9 []"},
+		{"an evacuation", operatorState(2, 50, 9, "z"), "9 [z]"},
+	} {
+		r.setOperatorState(now, step.state)
+		if diff := cmp.Diff(step.want, r.operatorState.Load().Tag()); diff != "" {
+			t.Errorf("%s: %s", step.what, diff)
+		}
+	}
+}
+
+// leaderKeyStore is a store that contains only a leader key.
+type leaderKeyStore struct {
+	Store
+	item Item
+}
+
+func (s leaderKeyStore) Get(context.Context, string) (Item, error) { return s.item, nil }
+
+// Guards against an instance that follows a leader whose election is void because the
+// store was restored from a copy: another leader may have been elected since the copy.
+func TestElectionOfEarlierEraIsVoid(t *testing.T) {
+	r, _ := newRouter(t, "a")
+	for value, want := range map[string]bool{"b 10.0.0.1:1 90/1": false, "b 10.0.0.1:1 90/2": true, "b 10.0.0.1:1 90": true} {
+		r.platform.Store = leaderKeyStore{item: Item{Value: []byte(value), Revision: fleet.NewRevision(2, 40)}}
+		info, revision, err := r.readLeader(t.Context())
+		if (err == nil) != want || want && info.term != revision || revision != fleet.NewRevision(2, 40) {
+			t.Errorf("leader key %q: leader %+v at revision %d, error %v", value, info, revision, err)
+		}
+	}
+}
+
+// Guards against a leader that has been suspended, and succeeded by another one, but has
+// itself elected again with what it knew when the store is restored.
+func TestReelectionNeedsFollowers(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		reporting int // of 5 instances, besides the leader
+		after     time.Duration
+		wantTry   bool
+		wantLead  bool
+	}{
+		"nobody reports":     {reporting: 0, wantLead: true},
+		"a minority reports": {reporting: 2, wantLead: true},
+		"a majority reports": {reporting: 3, wantLead: true, wantTry: true},
+		"nobody in time":     {reporting: 0, after: reelectionTimeout + 1},
+	} {
+		r, _ := newRouter(t, "a")
+		r.platform.Store = leaderKeyStore{item: Item{Value: []byte("b 10.0.0.1:1 1/2"), Revision: fleet.NewRevision(2, 40)}}
+		l := &leadership{
+			term: fleet.NewRevision(1, 90), members: map[fleet.InstanceID]member{"a": {heardAt: now}},
+			elections: make(chan electionResult, 1), coordinator: keyspace.NewCoordinator(now, fleet.NewRevision(1, 90), keyspace.Timing{}, keyspace.Record{Era: 1}),
+		}
+		r.noteRestored(now, l)
+		for i := range 5 {
+			heardAt := now.Add(-time.Second)
+			if i < c.reporting {
+				heardAt = now.Add(time.Millisecond)
+			}
+			l.members[fleet.InstanceID(rune('b'+i))] = member{heardAt: heardAt}
+		}
+		lead := r.seekReelection(t.Context(), now.Add(c.after+2*time.Millisecond), l)
+		if lead != c.wantLead || l.electing != c.wantTry {
+			t.Errorf("%s: leads on %t, tries to be elected %t", name, lead, l.electing)
+		}
+		if l.electing && r.handleElection(now, l, <-l.elections) {
+			t.Errorf("%s: leads on although another instance was elected", name)
+		}
+	}
+}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -337,6 +337,9 @@
 func (r *Router) noteStoreResult(now time.Time, err error) {
 	r.mu.Lock()
 	failingSince := r.storeFailingSince
+	if errors.Is(err, ErrRestored) {
+		err = nil // the store has answered
+	}
 	switch {
 	case err == nil:
 		if !failingSince.IsZero() && now.Sub(failingSince) > minLapseOutage {
--- a/internal/direct/shared.go
+++ b/internal/direct/shared.go
@@ -90,13 +90,14 @@
 
 // listReplica is an instance's copy of the leader's list.
 type listReplica struct {
-	term, seq uint64
-	entries   map[fleet.UpstreamID]balance.Registration
+	term    fleet.Revision
+	seq     uint64
+	entries map[fleet.UpstreamID]balance.Registration
 }
 
 // apply applies a delta from the leader of the given term, and returns the resulting
 // list.
-func (f *listReplica) apply(term uint64, d listDelta) []balance.Registration {
+func (f *listReplica) apply(term fleet.Revision, d listDelta) []balance.Registration {
 	if d.Complete || f.term != term {
 		f.entries = make(map[fleet.UpstreamID]balance.Registration)
 	}
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -13,6 +13,9 @@
 //   - if a grant to the holder may still be in flight, from this leader or an
 //     earlier one, the holder is given a higher fencing token before the release, so
 //     that it refuses the late grant
+//   - a record that was written before the store was restored from a copy says nothing
+//     about holders: a leader without better knowledge grants no key until all grants
+//     have expired, and its fencing tokens are higher than all of earlier eras
 package keyspace
 
 import (
@@ -43,7 +46,10 @@
 
 // MapVersion orders maps by the term of the leader that made them, then by the
 // sequence number within the term.
-type MapVersion struct{ Term, Seq uint64 }
+type MapVersion struct {
+	Term fleet.Revision // revision of the leader's key in the store
+	Seq  uint64
+}
 
 // Less reports whether v is older than o.
 func (v MapVersion) Less(o MapVersion) bool {
@@ -170,6 +176,11 @@
 // election of another: until it learns that other instances reach the store.
 const staleLeaderTime = 1500 * time.Millisecond
 
+// restoredLeaderTime is the additional time for which a leader may continue if the store
+// is restored from a copy that does not contain its election: its lease was still valid,
+// or it tries to be elected again.
+const restoredLeaderTime = 1500 * time.Millisecond
+
 // maxFenceRaises is the number of fencing tokens that a move reserves for the present
 // holder. Each attempt needs a higher token, since the previous grant may still be in
 // flight.
@@ -250,9 +261,10 @@
 // Coordinator is the leader's assignment of all shards to upstreams.
 type Coordinator struct {
 	timing          Timing
-	term            uint64
+	term            fleet.Revision
 	instances       []fleet.Peer // of the fleet
 	oldCallsEnd     time.Time    // no call of an earlier leader is in flight after this time
+	unknownHoldsEnd time.Time    // no upstream holds keys by a grant of an earlier leader after this time; zero if the record lists these grants
 	mapSeq          uint64
 	nextFence       fleet.Fence
 	services        map[fleet.ServiceID]*service
@@ -265,13 +277,25 @@
 
 // NewCoordinator returns the state of a newly elected leader. rec is the record that the
 // previous leader stored.
-func NewCoordinator(now time.Time, term uint64, t Timing, rec Record) *Coordinator {
-	co := &Coordinator{timing: t, term: term, instances: rec.Instances, nextFence: max(rec.NextFence, 1), services: make(map[fleet.ServiceID]*service), reachability: make(map[fleet.UpstreamID]reachability), mapChanged: true}
+func NewCoordinator(now time.Time, term fleet.Revision, t Timing, rec Record) *Coordinator {
+	co := &Coordinator{timing: t, term: term, instances: rec.Instances, nextFence: max(rec.NextFence, fleet.FirstFence(term.Era())), services: make(map[fleet.ServiceID]*service), reachability: make(map[fleet.UpstreamID]reachability), mapChanged: true}
 	latest := co.latestExpiry(now.Add(staleLeaderTime))
 	co.oldCallsEnd = latest
+	if rec.Era != term.Era() {
+		co.oldCallsEnd = latest.Add(restoredLeaderTime)
+		co.unknownHoldsEnd = co.oldCallsEnd
+		co.recordDirty = true
+	}
 	for id, shards := range rec.Services {
 		s := &service{id: id, keyLoad: NewLoadCounter(), firstSeen: now}
 		for _, r := range shards {
+			if rec.Era != term.Era() {
+				s.shards = append(s.shards, &shard{
+					Span: r.Span, holder: r.Holder, boot: r.Boot, fence: co.allocateFence(), state: stateGranting,
+					nextCall: co.unknownHoldsEnd, blockedUntil: co.unknownHoldsEnd,
+				})
+				continue
+			}
 			sh := &shard{Span: r.Span, holder: r.Holder, boot: r.Boot, fence: r.Fence, recorded: true, state: stateHeld, nextCall: now, latestHoldEnd: latest, unconfirmedHoldEnd: latest, everGranted: true}
 			if r.Moving {
 				// The holder before r.Holder may still hold the keys.
@@ -284,6 +308,19 @@
 	return co
 }
 
+// Reelected continues the state of a leader that was elected again after the store was
+// restored from a copy. What it knows is newer than any record in that store.
+func (co *Coordinator) Reelected(term fleet.Revision) {
+	co.term = term
+	co.nextFence = max(co.nextFence, fleet.FirstFence(term.Era()))
+	co.recordDirty, co.mapChanged = true, true
+	for _, s := range co.services {
+		for _, sh := range s.shards {
+			sh.recorded = false
+		}
+	}
+}
+
 // SetInstances sets the instances of the fleet, which the next record lists. If now is
 // true, the next Save returns a record even if nothing else has changed.
 func (co *Coordinator) SetInstances(list []fleet.Peer, now bool) {
--- a/internal/keyspace/keyspace_test.go
+++ b/internal/keyspace/keyspace_test.go
@@ -178,7 +178,7 @@
 	if !changed {
 		t.Fatal("no move was planned")
 	}
-	for term := uint64(2); term <= 3; term++ {
+	for term := fleet.Revision(2); term <= 3; term++ {
 		now = now.Add(500 * time.Millisecond)
 		o = NewCoordinator(now, term, timing, rec)
 		o.SetUpstreams(now, archive, usableUpstreams("a", "b", "c"))
@@ -370,3 +370,76 @@
 		}
 	}
 }
+
+// Guards against a leader that trusts an ownership record from before the store was
+// restored: the former leader may have moved keys and issued higher fencing tokens since.
+func TestRecordOfEarlierEraIsNotTrusted(t *testing.T) {
+	now := start
+	o, fakes := NewCoordinator(now, fleet.NewRevision(1, 5), timing, Record{Era: 1}), newFakeUpstreams(t)
+	o.SetUpstreams(now, archive, usableUpstreams("a", "b"))
+	old := run(o, fakes, &now, 10*time.Second)
+	moved := NewCoordinator(now, fleet.NewRevision(1, 6), timing, old)
+	moved.SetUpstreams(now, archive, usableUpstreams("b")) // the keys of a move to b
+	run(moved, fakes, &now, 10*time.Second)
+
+	restored := NewCoordinator(now, fleet.NewRevision(2, 3), timing, old)
+	restored.SetUpstreams(now, archive, usableUpstreams("a", "b"))
+	restored.SetUpstreams(now, "new", usableUpstreams("c")) // a service that the record lacks
+	elected := now
+	holdsEnd := elected.Add(timing.Hold + staleLeaderTime)
+	for now.Before(elected.Add(20 * time.Second)) {
+		now = now.Add(50 * time.Millisecond)
+		restored.Plan(now)
+		if _, onStored, changed := restored.Save(now); changed {
+			onStored()
+		}
+		for _, c := range restored.Calls(now) {
+			if !c.Release && now.Before(holdsEnd) {
+				t.Fatalf("granted %v to %s %v after the election, while grants of the former leader may be valid", c.Span, c.Upstream, now.Sub(elected))
+			}
+			if c.Fence < fleet.FirstFence(2) {
+				t.Fatalf("fence %d is not above all of era 1", c.Fence)
+			}
+			restored.CallEnded(now, c, fakes.answer(now, c), "warm")
+		}
+	}
+	if st := restored.Stats(); st.Shards == 0 || st.Held != st.Shards {
+		t.Errorf("%d of %d shards are held 20 s after the election", st.Held, st.Shards)
+	}
+}
+
+// Guards against a leader that loses what it knows when the store is restored: it keeps
+// its grants, stores its record again before it moves keys, and issues tokens of the new
+// era.
+func TestReelectedLeaderKeepsItsGrants(t *testing.T) {
+	now := start
+	o, fakes := NewCoordinator(now, fleet.NewRevision(1, 5), timing, Record{Era: 1}), newFakeUpstreams(t)
+	o.SetUpstreams(now, archive, usableUpstreams("a", "b"))
+	run(o, fakes, &now, 10*time.Second)
+	before, _ := o.Map()
+	if before == nil {
+		before = &Map{}
+	}
+	o.Reelected(fleet.NewRevision(2, 3))
+	after, changed := o.Map()
+	if !changed || !before.Version.Less(after.Version) {
+		t.Errorf("map version %v after %v, changed %t", after.Version, before.Version, changed)
+	}
+	if st := o.Stats(); st.Held != st.Shards {
+		t.Errorf("%d of %d shards are held after the new election", st.Held, st.Shards)
+	}
+	o.SetUpstreams(now, archive, usableUpstreams("b"))
+	o.Plan(now)
+	for _, c := range o.Calls(now.Add(time.Second)) {
+		if c.Release {
+			t.Errorf("%v is released before the record is stored", c.Span)
+		}
+	}
+	rec, _, changed := o.Save(now)
+	if !changed || rec.Era != 2 || rec.NextFence < fleet.FirstFence(2) {
+		t.Errorf("record of era %d with next fence %d, changed %t", rec.Era, rec.NextFence, changed)
+	}
+	if decoded, err := DecodeRecord(rec.Encode()); err != nil || decoded.Era != 2 {
+		t.Errorf("decoded era %d, error %v", decoded.Era, err)
+	}
+}
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -146,9 +146,11 @@
 		if to <= from {
 			continue
 		}
-		s.shards = append(s.shards, &shard{
-			Span: Span{Key(from), Key(to - 1)}, holder: u.ID, boot: u.Boot, fence: co.allocateFence(), state: stateGranting, nextCall: now,
-		})
+		sh := &shard{Span: Span{Key(from), Key(to - 1)}, holder: u.ID, boot: u.Boot, fence: co.allocateFence(), state: stateGranting, nextCall: now}
+		if now.Before(co.unknownHoldsEnd) {
+			sh.blockedUntil = co.unknownHoldsEnd
+		}
+		s.shards = append(s.shards, sh)
 		from = to
 	}
 	co.recordDirty, co.mapChanged = true, true
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -14,6 +14,9 @@
 // upstreams may hold which keys, and a starting instance reads which other instances
 // share limits with it.
 type Record struct {
+	// Era is that of the store when the record was written. A record from an earlier era
+	// may lack the last grants and fencing tokens.
+	Era       fleet.Era
 	Instances []fleet.Peer // of the fleet; empty if unknown
 	NextFence fleet.Fence
 	Services  map[fleet.ServiceID][]RecordShard
@@ -49,7 +52,7 @@
 		return Record{}, nil, false
 	}
 	co.recordDirty, co.overstatedSince = false, time.Time{}
-	rec := Record{Instances: co.instances, NextFence: co.nextFence, Services: make(map[fleet.ServiceID][]RecordShard)}
+	rec := Record{Era: co.term.Era(), Instances: co.instances, NextFence: co.nextFence, Services: make(map[fleet.ServiceID][]RecordShard)}
 	type savedShard struct {
 		p     *shard
 		next  *transfer
@@ -100,6 +103,10 @@
 	e.ObjStart()
 	e.FieldStart("peers")
 	fleet.EncodePeers(&e, r.Instances)
+	if r.Era > 0 {
+		e.FieldStart("era")
+		e.UInt64(uint64(r.Era))
+	}
 	e.FieldStart("next-fence")
 	e.UInt64(uint64(r.NextFence))
 	e.FieldStart("services")
@@ -149,6 +156,10 @@
 			peers, err := fleet.DecodePeers(d)
 			r.Instances = peers
 			return err
+		case "era":
+			n, err := d.UInt64()
+			r.Era = fleet.Era(n)
+			return err
 		case "next-fence":
 			n, err := d.UInt64()
 			r.NextFence = fleet.Fence(n)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -38,9 +38,36 @@
 	LimitID string
 )
 
-// Revision is the number of a write to the store. Later writes have higher numbers.
+// Revision is the number of a write to the store. Later writes have higher numbers, also
+// after the store has been restored from a copy: see NewRevision.
 type Revision uint64
 
+// Era counts how often the store has been restored from a copy. A restored store lacks
+// the last writes before its restoration, and gives out their numbers again.
+type Era uint64
+
+const (
+	// numbersPerEra is the number of revisions and of fencing tokens in an era. The
+	// decimal digits of a revision show its era and its number.
+	numbersPerEra = 1_000_000_000_000
+	// MaxEra keeps revisions and fences exact in JSON decoders that use floating point.
+	MaxEra Era = 9000
+)
+
+// NewRevision returns the revision of the write with number n in an era. n must be less
+// than 10^12, and era at most MaxEra.
+func NewRevision(era Era, n uint64) Revision { return Revision(uint64(era)*numbersPerEra + n) }
+
+// Era returns the era of the write.
+func (r Revision) Era() Era { return Era(r / numbersPerEra) }
+
+// Number returns the number that the store gave the write in its era.
+func (r Revision) Number() uint64 { return uint64(r % numbersPerEra) }
+
+// FirstFence returns the first fencing token of an era. It is higher than all tokens of
+// earlier eras, also than those of which the restored store has no record.
+func FirstFence(era Era) Fence { return Fence(uint64(era)*numbersPerEra + 1) }
+
 // Fence is a fencing token. Later grants have higher fences; 0 means no fence.
 type Fence uint64
 
