direct: a leader learns soon that an outage of the store has ended

Callers saw: keys without service for about 6 s if, after a restoration of the store, an instance reported that it reaches the store before the leader had renewed its lease: the leader then ends, since another one may have been elected, and the next one does not know the grants. Cause: the leader renews every 400 ms, and a call that is not answered takes 500 ms more. Change: once its lease may have expired, it renews every 100 ms with a timeout of 200 ms.

--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -30,6 +30,11 @@
 	leaseMargin = 250 * time.Millisecond
 	// leaseRenewInterval is the time between two renewals of the leader's lease.
 	leaseRenewInterval = 400 * time.Millisecond
+	// outageRenewInterval and outageRenewTimeout replace it and storeTimeout once the lease
+	// may have expired during an outage of the store: the leader has to learn of the end of
+	// the outage before the other instances report that they reach the store.
+	outageRenewInterval = 100 * time.Millisecond
+	outageRenewTimeout  = 200 * time.Millisecond
 	// grantTTL is the validity of a grant. The keys of a lost upstream get a new holder
 	// after it. An election must take less.
 	grantTTL = 2500 * time.Millisecond
@@ -220,7 +225,7 @@
 			return false
 		}
 	} else {
-		r.renewIfDue(ctx, now, l)
+		r.renewIfDue(ctx, now, l, leaseValid)
 		if !leaseValid && !r.storeDownForAll(now, l) {
 			return false
 		}
@@ -273,14 +278,18 @@
 }
 
 // renewIfDue starts a renewal of the leader's lease if one is due.
-func (r *Router) renewIfDue(ctx context.Context, now time.Time, l *leadership) {
+func (r *Router) renewIfDue(ctx context.Context, now time.Time, l *leadership, leaseValid bool) {
+	interval, timeout := leaseRenewInterval, storeTimeout
+	if !leaseValid {
+		interval, timeout = outageRenewInterval, outageRenewTimeout
+	}
 	if l.renewing || now.Before(l.renewDue) {
 		return
 	}
-	l.renewing, l.renewDue = true, now.Add(leaseRenewInterval)
+	l.renewing, l.renewDue = true, now.Add(interval)
 	lease := l.lease
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		sentAt := bootClock()
 		err := r.platform.Store.RenewLease(ctx, lease)
