direct, balance: a restored store does not bring upstreams back that have left

Cause: the list of the store was taken as it is. Change: a run of an upstream that drains stays so whatever a list says; for 6 s after a restoration, runs that departed before it are left out, and for 2.2 s missing ones are kept, as after an outage. A new run of the same id is used.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -111,6 +112,7 @@
 	entries    map[fleet.UpstreamID]*Entry
 	byService  map[fleet.ServiceID][]*Entry
 	meanTimes  map[fleet.ServiceID]float64 // mean service time in seconds over all upstreams of a service; 0 if unknown
+	departed   map[fleet.UpstreamID]departure
 	evacuated  map[fleet.ZoneID]bool
 	rng        *rand.Rand
 	self       fleet.InstanceID
@@ -118,11 +120,22 @@
 	coldLimits func(fleet.ServiceID) (time.Duration, fleet.PerSecond)
 }
 
+// departure is the run of an upstream whose registration has disappeared.
+type departure struct {
+	boot fleet.BootID
+	at   time.Time
+}
+
+// departureMemory is the time for which departures are remembered, longer than
+// registrations of upstreams that have left may be listed again.
+const departureMemory = time.Minute
+
 // New returns an empty table of instance self. coldLimits returns how long an upstream
 // of a service is cold after its start, and the request rate that it can serve then.
 func New(self fleet.InstanceID, rng *rand.Rand, coldLimits func(fleet.ServiceID) (time.Duration, fleet.PerSecond)) *Table {
 	return &Table{
 		entries: make(map[fleet.UpstreamID]*Entry), byService: make(map[fleet.ServiceID][]*Entry),
+		departed:  make(map[fleet.UpstreamID]departure),
 		meanTimes: make(map[fleet.ServiceID]float64), evacuated: make(map[fleet.ZoneID]bool),
 		rng: rng, self: self, coldLimits: coldLimits,
 	}
@@ -150,11 +163,13 @@
 		entries[r.ID] = e
 		byService[r.Service] = append(byService[r.Service], e)
 	}
-	for id := range t.entries {
+	for id, e := range t.entries {
 		if entries[id] == nil {
 			changes = append(changes, Change{ID: id, Kind: "gone"})
+			t.departed[id] = departure{boot: e.Boot, at: now}
 		}
 	}
+	maps.DeleteFunc(t.departed, func(_ fleet.UpstreamID, d departure) bool { return now.Sub(d.at) > departureMemory })
 	t.entries, t.byService = entries, byService
 	return changes
 }
@@ -194,6 +209,28 @@
 	return list
 }
 
+// KeepDraining returns list with those upstreams marked as draining whose runs are known
+// to drain: they do not return, but a store that was restored from a copy may list their
+// earlier registrations.
+func (t *Table) KeepDraining(list []Registration) []Registration {
+	list = slices.Clone(list)
+	for i, r := range list {
+		if e := t.entries[r.ID]; e != nil && e.Boot == r.Boot && e.Draining {
+			list[i].Draining = true
+		}
+	}
+	return list
+}
+
+// WithoutDeparted returns list without the runs of upstreams that departed before the
+// given time. A store that was restored from a copy lists them again.
+func (t *Table) WithoutDeparted(list []Registration, before time.Time) []Registration {
+	return slices.DeleteFunc(slices.Clone(list), func(r Registration) bool {
+		d, known := t.departed[r.ID]
+		return known && d.boot == r.Boot && d.at.Before(before)
+	})
+}
+
 func (t *Table) register(now time.Time, r Registration) (*Entry, string) {
 	e, known := t.entries[r.ID]
 	kind := ""
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
 const (
@@ -25,6 +26,10 @@
 	// registrations expired meanwhile register again. Until it is over, upstreams
 	// missing from the list are kept.
 	reregistrationGrace = 2200 * time.Millisecond
+	// restoredEntryTime is the time after a restoration within which registrations of
+	// upstreams that have left may be listed again. They expire after three heartbeat
+	// intervals.
+	restoredEntryTime = 6 * time.Second
 	// minLapseOutage is the shortest outage during which registrations may expire.
 	minLapseOutage = time.Second
 	// listInterval is the time between two lists of upstreams by the leader. An
@@ -231,6 +236,7 @@
 		r.noteInvalid(time.Now(), entryUpstream, list.Invalid)
 		r.mu.Lock()
 		r.listFromStore = true
+		r.noteListEra(time.Now(), list.Era)
 		r.mu.Unlock()
 		r.setUpstreams(time.Now(), requestedAt, list.Upstreams)
 		r.awaitListReadDue(ctx)
@@ -271,13 +277,27 @@
 	}
 }
 
+// noteListEra records the era of a list of upstreams that was read from the store. A
+// restored store lacks the registrations of some upstreams, and still has those of some
+// that have left. The caller must hold mu.
+func (r *Router) noteListEra(now time.Time, era fleet.Era) {
+	if era > r.listEra && !r.listedAt.IsZero() {
+		r.restoredAt, r.outageEndedAt = now, now
+	}
+	r.listEra = max(r.listEra, era)
+}
+
 // setUpstreams applies a list of upstreams, received at now. requestedAt is when the
 // list was requested from the store, by this instance or the leader.
 func (r *Router) setUpstreams(now, requestedAt time.Time, list []balance.Registration) {
 	r.mu.Lock()
+	list = r.upstreams.KeepDraining(list)
 	if now.Sub(r.outageEndedAt) < reregistrationGrace {
 		list = r.upstreams.KeepMissing(list)
 	}
+	if now.Sub(r.restoredAt) < restoredEntryTime {
+		list = r.upstreams.WithoutDeparted(list, r.restoredAt)
+	}
 	changes := r.upstreams.Replace(now, list)
 	r.setListedAt(requestedAt)
 	if r.leaderList.update(now, list) {
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -212,6 +212,7 @@
 	if newer && !changed && !r.listFromStore {
 		r.setListedAt(listedAt)
 	}
+	r.listEra = max(r.listEra, rp.Term.Era()) // the leader has handled the restoration
 	r.operatorSeqReceived = rp.OperatorSeq
 	if rp.OperatorTag != "" && rp.OperatorTag == r.operatorState.Load().Tag() {
 		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, now.Add(-rp.OperatorAge))
--- a/internal/direct/restored_test.go
+++ b/internal/direct/restored_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
@@ -45,6 +46,41 @@
 	}
 }
 
+// Guards against requests to upstreams that leave or have left, which a restored store
+// lists as before, and against dropping upstreams that it lacks until they register again.
+func TestUpstreamsAfterRestoration(t *testing.T) {
+	r, _ := newRouter(t, "a")
+	now := time.Now()
+	entry := func(id fleet.UpstreamID, boot fleet.BootID, draining bool) balance.Registration {
+		return balance.Registration{ID: id, Service: "s", Zone: "z", Boot: boot, Slots: 1, Draining: draining}
+	}
+	list := func(at time.Time, era fleet.Era, entries ...balance.Registration) {
+		r.mu.Lock()
+		r.noteListEra(at, era)
+		r.mu.Unlock()
+		r.setUpstreams(at, at, entries)
+	}
+	usable := func() (ids []fleet.UpstreamID) {
+		for _, id := range []fleet.UpstreamID{"stays", "leaves", "gone", "joined"} {
+			if r.upstreams.Usable(r.upstreams.Get(id)) {
+				ids = append(ids, id)
+			}
+		}
+		return ids
+	}
+	list(now, 1, entry("stays", "1", false), entry("leaves", "1", false), entry("gone", "1", false))
+	list(now.Add(time.Second), 1, entry("stays", "1", false), entry("leaves", "1", true), entry("joined", "1", false))
+	restoredAt := now.Add(2 * time.Second)
+	list(restoredAt, 2, entry("stays", "1", false), entry("leaves", "1", false), entry("gone", "1", false))
+	if diff := cmp.Diff([]fleet.UpstreamID{"stays", "joined"}, usable()); diff != "" {
+		t.Error("right after the restoration: ", diff)
+	}
+	list(restoredAt.Add(reregistrationGrace), 2, entry("stays", "1", false), entry("leaves", "2", false))
+	if diff := cmp.Diff([]fleet.UpstreamID{"stays", "leaves"}, usable()); diff != "" {
+		t.Error("after a restart of the upstream that left, and without the one that did not register again: ", diff)
+	}
+}
+
 // leaderKeyStore is a store that contains only a leader key.
 type leaderKeyStore struct {
 	Store
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -82,6 +82,8 @@
 	storeFailingSince   time.Time // first failed call since then; zero if there is none
 	listedDuringFailure time.Time // when the leader's first list since the last failed call was requested
 	outageEndedAt       time.Time // end of the last store outage that this instance saw
+	restoredAt          time.Time // when this instance first listed upstreams from a restored store
+	listEra             fleet.Era // of the store when upstreams were last listed
 
 	invalidLoggedAt map[entryKind]time.Time // last log lines about invalid entries in the store
 
