direct: evacuations stay in force when the store is restored

Cause: the evacuations in the store were taken as they are. Change: for 2.2 s after a restoration the known evacuations stay, new ones are added, and those that ended within a minute do not begin again; the operators' keys are read until then and once more afterwards.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,6 +27,12 @@
 	// registrations expired meanwhile register again. Until it is over, upstreams
 	// missing from the list are kept.
 	reregistrationGrace = 2200 * time.Millisecond
+	// rewriteTime is the time after a restoration of the store within which operators
+	// write the changes again that it has lost.
+	rewriteTime = 2200 * time.Millisecond
+	// evacuationMemory is how long before a restoration the end of an evacuation may be
+	// lost by it. Copies are some seconds old.
+	evacuationMemory = time.Minute
 	// restoredEntryTime is the time after a restoration within which registrations of
 	// upstreams that have left may be listed again. They expire after three heartbeat
 	// intervals.
@@ -146,14 +153,50 @@
 		if next.Invalid != nil {
 			r.noteInvalid(time.Now(), entryConfiguration, []error{next.Invalid})
 		}
-		known = true
-		r.setOperatorState(time.Now(), next)
-		if !r.isLeader() {
+		r.setOperatorState(time.Now(), r.holdEvacuations(requestedAt, next))
+		known = !r.evacuationsHeld(requestedAt) // else the store's evacuations are still to be applied
+		if !r.isLeader() || !known {
 			sleep(ctx, storeRetryDelay) // bounds the rate of store calls under frequent changes
 		}
 	}
 }
 
+// holdEvacuations returns next, which was read from the store at now. If the store was
+// restored from a copy, it may lack evacuations and contain some that have ended;
+// operators write the lost changes again within rewriteTime. Until then, the known
+// evacuations stay, and those that ended within evacuationMemory do not begin again.
+func (r *Router) holdEvacuations(now time.Time, next OperatorState) OperatorState {
+	cur := r.operatorState.Load()
+	if cur == nil {
+		return next
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if next.Revision.Era() > cur.Revision.Era() {
+		r.evacuationsHeldUntil = now.Add(rewriteTime)
+	}
+	if !now.Before(r.evacuationsHeldUntil) {
+		return next
+	}
+	held := make(map[fleet.ZoneID]bool)
+	maps.Copy(held, cur.Evacuated)
+	for zone := range next.Evacuated {
+		if endedAt, ended := r.evacuationEndedAt[zone]; !ended || now.Sub(endedAt) > evacuationMemory {
+			held[zone] = true
+		}
+	}
+	next.Evacuated = held
+	return next
+}
+
+// evacuationsHeld reports whether the evacuations in the store may be outdated because
+// it was restored from a copy.
+func (r *Router) evacuationsHeld(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.evacuationsHeldUntil)
+}
+
 // setOperatorState applies the operator state, known to be current as of now, unless a
 // newer one has been applied.
 func (r *Router) setOperatorState(now time.Time, next OperatorState) {
@@ -189,6 +232,7 @@
 	for zone := range r.evacuatedSince {
 		if !next.Evacuated[zone] {
 			delete(r.evacuatedSince, zone)
+			r.evacuationEndedAt[zone] = now
 			r.log.Info("zone evacuation ended", "zone", zone, "revision", next.Revision)
 		}
 	}
--- a/internal/direct/restored_test.go
+++ b/internal/direct/restored_test.go
@@ -46,6 +46,34 @@
 	}
 }
 
+// Guards against evacuations that end because a restored store lacks them, against ended
+// ones that begin again because the copy still has them, and against new ones that wait.
+func TestEvacuationsAfterRestoration(t *testing.T) {
+	r, _ := newRouter(t, "a")
+	now := time.Now()
+	r.setOperatorState(now, operatorState(1, 80, 7, "ended"))
+	r.setOperatorState(now, operatorState(1, 90, 7, "lost"))
+	for _, step := range []struct {
+		after  time.Duration
+		stored []fleet.ZoneID
+		want   string
+	}{
+		{0, []fleet.ZoneID{"ended"}, "7 [lost]"},
+		{time.Second, []fleet.ZoneID{"ended", "new"}, "7 [lost new]"},
+		{2 * time.Second, []fleet.ZoneID{"lost", "new"}, "7 [lost new]"},
+		{rewriteTime, []fleet.ZoneID{"new"}, "7 [new]"},
+	} {
+		at := now.Add(step.after)
+		r.setOperatorState(at, r.holdEvacuations(at, operatorState(2, 40+uint64(step.after.Seconds()), 7, step.stored...)))
+		if diff := cmp.Diff(step.want, r.operatorState.Load().Tag()); diff != "" {
+			t.Errorf("%v after the restoration: %s", step.after, diff)
+		}
+		if got, want := r.evacuationsHeld(at), step.after < rewriteTime; got != want {
+			t.Errorf("%v after the restoration: the store's evacuations are held back: %t", step.after, got)
+		}
+	}
+}
+
 // Guards against requests to upstreams that leave or have left, which a restored store
 // lists as before, and against dropping upstreams that it lacks until they register again.
 func TestUpstreamsAfterRestoration(t *testing.T) {
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -84,6 +84,9 @@
 	outageEndedAt       time.Time // end of the last store outage that this instance saw
 	restoredAt          time.Time // when this instance first listed upstreams from a restored store
 	listEra             fleet.Era // of the store when upstreams were last listed
+	evacuationEndedAt   map[fleet.ZoneID]time.Time
+	// evacuationsHeldUntil is when the evacuations in a restored store are up to date again.
+	evacuationsHeldUntil time.Time
 
 	invalidLoggedAt map[entryKind]time.Time // last log lines about invalid entries in the store
 
@@ -119,7 +122,7 @@
 		homeQuota: quota.NewHome(quota.Config(cfg.Quota)), homesByAccount: make(map[fleet.AccountID][]fleet.Peer), homeFailedAt: make(map[fleet.InstanceID]time.Time),
 		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}),
 		requestedKeys: make(map[fleet.ServiceID][]keyspace.Key), leavingSince: make(map[fleet.UpstreamID]time.Time),
-		evacuatedSince: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
+		evacuatedSince: make(map[fleet.ZoneID]time.Time), evacuationEndedAt: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
 		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 	}
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
