soak: restorations of the store, and a check of fencing tokens

A drill may restore the store from a copy some seconds old, alone or beside other faults, and the soak neither did this nor looked at fencing tokens. Change: the store is away for 0.1 to 2 s and comes back from a copy 1 to 9 s old, half of the times again within 2 s. Operators' writes and removals of entries are repeated after 0 to 500 ms, those of live upstreams with the next heartbeat; the disturbance of the store lasts until then. Restorations draw from a source of their own, so that the other faults of a seed stay as they were; TestRegressions runs without them, since its seeds stand for the faults that failed.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -116,9 +116,30 @@
 			violations = append(violations, id+": executed although no caller sent it")
 		}
 	}
+	violations = append(violations, env.checkFences()...)
 	return append(violations, env.checkRateLimits()...)
 }
 
+// checkFences returns a violation for each grant whose fencing token was not above those
+// with which other upstreams had the keys. Grants do not count if they arrived shortly
+// after a paused process continued, or after the link to the upstream healed.
+func (env *testEnv) checkFences() (violations []string) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	for _, v := range env.grants.Violations() {
+		shortlyBefore := func(at time.Time) bool { return !v.At.Before(at) && v.At.Sub(at) <= thawSlack }
+		if v.Held || slices.ContainsFunc(env.thawedAt, shortlyBefore) || slices.ContainsFunc(env.healedAt[v.Upstream], shortlyBefore) {
+			continue
+		}
+		text := fmt.Sprintf("%.2f s: %s", v.At.Sub(env.startedAt).Seconds(), v)
+		if len(violations) == 0 {
+			text += fmt.Sprintf("\nholders of key %d, after a start at %s:\n%s", v.First, env.startedAt.Format("15:04:05.000"), env.grants.Trace(v.First))
+		}
+		violations = append(violations, text)
+	}
+	return violations
+}
+
 // checkTimeBounds checks the bounds on time: that requests stop reaching an upstream that
 // has left, and that withdrawn and new caller keys take effect. They hold only while
 // neither the instance nor the store is disturbed. The caller holds the lock of the
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,6 +32,92 @@
 	}
 }
 
+// Restorations of the store: how long the store is away, how old the copy is, when
+// operators and upstreams have written again what was lost, and how often it happens.
+const (
+	minRestoreOutage, maxRestoreOutage = 100 * time.Millisecond, 2 * time.Second
+	minCopyAge, maxCopyAge             = time.Second, 9 * time.Second
+	maxRewriteDelay                    = 500 * time.Millisecond
+	minRestorePause, maxRestorePause   = time.Second, 6 * time.Second
+	maxSecondRestorePause              = 2 * time.Second
+)
+
+// injectRestorations restores the store from copies for a time d, with random pauses, and
+// half of the times twice in a row. It draws from a source of its own, so that the other
+// faults of a seed are the same without it.
+func (env *testEnv) injectRestorations(rng *rand.Rand, d time.Duration) {
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(rng.Int64N(int64(most-least)))
+	}
+	var g sync.WaitGroup
+	defer g.Wait()
+	end := time.Now().Add(d)
+	for {
+		time.Sleep(between(minRestorePause, maxRestorePause))
+		if time.Now().After(end) {
+			return
+		}
+		env.restoreStore(rng, &g, between(minRestoreOutage, maxRestoreOutage))
+		if rng.IntN(2) == 0 {
+			time.Sleep(between(0, maxSecondRestorePause))
+			env.restoreStore(rng, &g, between(minRestoreOutage, maxRestoreOutage))
+		}
+	}
+}
+
+// restoreStore makes the store unavailable for a time away, and restores it from a random
+// copy. What operators wrote, and the removals of upstreams' entries, are repeated after
+// random delays; upstreams that are alive write their entries at the next heartbeat.
+func (env *testEnv) restoreStore(rng *rand.Rand, g *sync.WaitGroup, away time.Duration) {
+	fault := standin.Fault{NoResponse: true}
+	if rng.IntN(3) == 0 {
+		fault = standin.Fault{Status: 503}
+	}
+	paused := rng.IntN(2) == 0 // leases pause meanwhile
+	env.recordStoreDisturbance(away + max(maxRewriteDelay, heartbeatInterval))
+	env.store.FreezeLeases(paused)
+	env.store.SetFault(func(string) standin.Fault { return fault })
+	time.Sleep(away)
+	c, found := env.anyCopy(rng)
+	if !found {
+		return
+	}
+	lost := env.store.Restore(c.Copy)
+	env.logFault("store: restored after %v away, from a copy of %.2f s, %v old", away, c.takenAt.Sub(env.startedAt).Seconds(), time.Since(c.takenAt).Round(time.Millisecond))
+	env.store.SetFault(nil)
+	env.store.FreezeLeases(false)
+	for _, w := range lost {
+		if w.TTL == 0 {
+			scheduleFunc(g, time.Duration(rng.Int64N(int64(maxRewriteDelay))), func() { env.store.Repeat(w) })
+		}
+	}
+}
+
+// copyStore takes a copy of the store, and drops those that are too old to be used.
+func (env *testEnv) copyStore() {
+	c := storeCopy{env.store.Copy(), time.Now()}
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	for len(env.copies) > 0 && time.Since(env.copies[0].takenAt) > maxCopyAge {
+		env.copies = env.copies[1:]
+	}
+	env.copies = append(env.copies, c)
+}
+
+// anyCopy draws a copy that is old enough to be used. It reports false if there is none.
+func (env *testEnv) anyCopy(rng *rand.Rand) (storeCopy, bool) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	n := 0
+	for n < len(env.copies) && time.Since(env.copies[n].takenAt) >= minCopyAge {
+		n++
+	}
+	if n == 0 {
+		return storeCopy{}, false
+	}
+	return env.copies[rng.IntN(n)], true
+}
+
 // scheduleFunc runs f after d, and lets g wait for it.
 func scheduleFunc(g *sync.WaitGroup, d time.Duration, f func()) {
 	g.Add(1)
@@ -76,6 +163,7 @@
 	env.logFault("pause %s for %v", in.name, d)
 	in.signal(syscall.SIGSTOP)
 	scheduleFunc(g, d, func() {
+		env.recordThaw()
 		in.signal(syscall.SIGCONT)
 		in.recordDisturbance(0, false)
 		in.endFault()
@@ -187,12 +275,27 @@
 		env.t.Error(err)
 	}
 	scheduleFunc(g, d, func() {
+		env.recordHeal(route)
 		if err := env.relays.SetFault(route, relay.Fault{Mode: relay.ModeOK}); err != nil {
 			env.t.Error(err)
 		}
 	})
 }
 
+// recordThaw records that a paused process continues now.
+func (env *testEnv) recordThaw() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.thawedAt = append(env.thawedAt, time.Now())
+}
+
+// recordHeal records that a fault of a relay's route ends now.
+func (env *testEnv) recordHeal(route string) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.healedAt[route] = append(env.healedAt[route], time.Now())
+}
+
 // storeLinkFault injects a fault into the link between a random instance and the store.
 func (env *testEnv) storeLinkFault(g *sync.WaitGroup) {
 	in, d := env.anyInstance(), env.randomDuration(300*time.Millisecond, 4*time.Second)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,6 +29,7 @@
 	runCount      = flag.Int("seeds", 1, "number of runs of TestSoak, each with the next seed")
 	firstSeed     = flag.Uint64("first", 1, "seed of the first run")
 	instanceCount = flag.Int("instances", 6, "number of processes of the router")
+	restorations  = flag.Bool("restorations", true, "also restore the store from copies in TestSoak")
 	faultDuration = flag.Duration("length", 15*time.Second, "time during which new faults start")
 	keepDir       = flag.String("keep", "", "directory that the logs of failed runs are copied to")
 )
@@ -76,18 +78,19 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed)
+			runSeed(t, seed, *restorations)
 		})
 	}
 }
 
-// TestRegressions runs the seeds that have failed before.
+// TestRegressions runs the seeds that have failed before, without restorations of the
+// store, so that the faults are those that they failed with.
 func TestRegressions(t *testing.T) {
 	for seed, cause := range regressions {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			t.Log(cause)
-			runSeed(t, seed)
+			runSeed(t, seed, false)
 		})
 	}
 }
@@ -100,9 +103,10 @@
 	602: "after each of two restarts of all instances, homes admitted a part of the tolerated excess again: 52 requests where 50 are allowed",
 }
 
-// runSeed injects the faults of a seed into a new fleet under load, and checks the
-// guarantees and that service recovers afterwards.
-func runSeed(t *testing.T, seed uint64) {
+// runSeed injects the faults of a seed into a new fleet under load, with restorations of
+// the store if restore is set, and checks the guarantees and that service recovers
+// afterwards.
+func runSeed(t *testing.T, seed uint64, restore bool) {
 	env := newTestEnv(t, seed, *instanceCount)
 	stop := make(chan struct{})
 	pool := &callerPool{env: env}
@@ -117,7 +121,15 @@
 		pool.run(seed, stop)
 		close(callersDone)
 	}()
+	restored := make(chan struct{})
+	go func() {
+		defer close(restored)
+		if restore {
+			env.injectRestorations(rand.New(rand.NewPCG(seed, 2)), *faultDuration)
+		}
+	}()
 	env.injectFaults(*faultDuration)
+	<-restored
 	env.logFault("all faults have ended")
 	time.Sleep(recoveryTime)
 	measuredFrom := time.Now()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -25,6 +25,8 @@
 	contactTime       = 3 * time.Second        // without disturbances, after which time bounds apply
 	heartbeatInterval = 400 * time.Millisecond // between two writes of an upstream's entry
 	coldTime          = 500 * time.Millisecond // cold start of an upstream
+	thawSlack         = 300 * time.Millisecond // after a process continues or a link heals, in which late grants do not count
+	copyInterval      = 250 * time.Millisecond // between two copies of the store
 )
 
 // testEnv holds the processes under test and the test doubles of the platform.
@@ -37,6 +39,7 @@
 	relays     *relay.Server
 	instances  []*instance
 	executions *executionLog
+	grants     *standin.GrantLog // of all upstreams that hold keys
 	startedAt  time.Time
 
 	mu                sync.Mutex
@@ -44,7 +47,16 @@
 	upstreamCount     int // upstreams ever added; numbers their ids
 	config            config
 	storeDisturbances []disturbance
-	faultLog          []string // injected faults with their times, printed if the run fails
+	copies            []storeCopy            // of the store, in the order of their times
+	thawedAt          []time.Time            // when paused processes continued
+	healedAt          map[string][]time.Time // when faults of the relay's routes ended, by route
+	faultLog          []string               // injected faults with their times, printed if the run fails
+}
+
+// storeCopy is a copy of the store, from which it can be restored.
+type storeCopy struct {
+	standin.Copy
+	takenAt time.Time
 }
 
 // disturbance is the period in which a fault or a planned restart affects an instance or
@@ -103,7 +115,7 @@
 // newTestEnv starts the store, the relay, 8 upstreams of 2 services and count instances.
 func newTestEnv(t *testing.T, seed uint64, count int) *testEnv {
 	t.Helper()
-	env := &testEnv{t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: t.TempDir(), startedAt: time.Now(), executions: newExecutionLog()}
+	env := &testEnv{t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: t.TempDir(), startedAt: time.Now(), executions: newExecutionLog(), grants: standin.NewGrantLog(), healedAt: make(map[string][]time.Time)}
 	var err error
 	if env.store, err = standin.StartStore("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -147,9 +159,13 @@
 	u := &upstream{service: service, zone: zone, route: fmt.Sprint("u", env.upstreamCount)}
 	env.mu.Unlock()
 	work := 20 * time.Millisecond
+	var grants *standin.GrantLog
+	if service == "vault" {
+		grants = env.grants
+	}
 	var err error
 	u.Upstream, err = standin.StartUpstream(standin.UpstreamConfig{
-		ID: u.route, Service: service, Zone: zone, Sharded: service == "vault", ServiceTime: work, Addr: env.network + ".250:0",
+		ID: u.route, Service: service, Zone: zone, Sharded: service == "vault", ServiceTime: work, Grants: grants, Addr: env.network + ".250:0",
 		OnStart: func(_ *standin.Upstream, r *http.Request) { env.executions.recordStart(env, u, r) },
 	})
 	if err == nil {
@@ -184,8 +200,8 @@
 	return append([]*upstream(nil), env.upstreams...)
 }
 
-// maintain renews the entries of upstreams and probes the readiness of instances at
-// regular intervals until stop is closed.
+// maintain renews the entries of upstreams, copies the store and probes the readiness of
+// instances at regular intervals until stop is closed.
 func (env *testEnv) maintain(stop <-chan struct{}) {
 	var g sync.WaitGroup
 	runEvery := func(interval time.Duration, f func()) {
@@ -209,6 +225,7 @@
 			env.writeHeartbeat(u)
 		}
 	})
+	runEvery(copyInterval, env.copyStore)
 	for _, in := range env.instances {
 		runEvery(500*time.Millisecond, in.probe)
 	}
