direct: a leader that did not run for longer than its lease ends

Callers could see (OWNER): a key with two holders. Cause: without a valid lease a leader goes on if the reports of most instances say that nobody reaches the store. The age of reports is measured by the monotonic clock, which stops while a machine is suspended, so that reports from before looked new. Change: a leader whose loop did not run for 1.25 s, by the clock that counts suspensions, ends if its lease is not valid. Evidence: TestSuspendedLeaderEnds; without the check its case 'suspended' leads on.

--- a/internal/direct/elect_test.go
+++ b/internal/direct/elect_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -43,3 +44,30 @@
 		}
 	}
 }
+
+// Guards against a leader that goes on after it was suspended because the reports from
+// before say that the store is down for all: its successor may have granted keys since.
+func TestSuspendedLeaderEnds(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		gap, leaseLeft time.Duration
+		want           bool
+	}{
+		"store down for all":       {gap: leaderTick, leaseLeft: -time.Second, want: true},
+		"suspended":                {gap: maxStepGap + time.Millisecond, leaseLeft: -time.Second, want: false},
+		"suspended within a lease": {gap: maxStepGap + time.Millisecond, leaseLeft: time.Second, want: true},
+	} {
+		r, _ := newRouter(t, "a")
+		r.storeAnsweredAt = now
+		l := &leadership{
+			term: 1, validUntil: bootClock() + c.leaseLeft, steppedAt: bootClock() - c.gap, renewing: true,
+			members:     map[fleet.InstanceID]member{"a": {heardAt: now}, "b": {heardAt: now, storeAge: time.Hour}, "c": {heardAt: now, storeAge: time.Hour}},
+			planDue:     now.Add(time.Minute),
+			publishDue:  now.Add(time.Minute),
+			coordinator: keyspace.NewCoordinator(now, 1, keyspace.Timing{}, keyspace.Record{}),
+		}
+		if got := r.leadStep(t.Context(), l); got != c.want {
+			t.Errorf("%s: leads on %t, want %t", name, got, c.want)
+		}
+	}
+}
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -30,6 +30,11 @@
 	leaseMargin = 250 * time.Millisecond
 	// leaseRenewInterval is the time between two renewals of the leader's lease.
 	leaseRenewInterval = 400 * time.Millisecond
+	// maxStepGap is the time without a step of its loop after which a leader without a valid
+	// lease ends, even if the store seems to be down for all: the reports that say so may
+	// be older than the election of its successor. The monotonic clock, by which their age
+	// is measured, stops while a machine is suspended.
+	maxStepGap = leaderLeaseTTL - leaseMargin
 	// outageRenewInterval and outageRenewTimeout replace it and storeTimeout once the lease
 	// may have expired during an outage of the store: the leader has to learn of the end of
 	// the outage before the other instances report that they reach the store.
@@ -79,6 +84,7 @@
 	term              fleet.Revision // of the leader key
 	lease             Lease
 	validUntil        time.Duration // on the clock of bootClock
+	steppedAt         time.Duration // time of the last leadStep, on the clock of bootClock
 	restoredAt        time.Time     // when the leader learned that its lease is from an earlier era of the store; zero if it is not
 	electing          bool
 	electionDue       time.Time
@@ -217,8 +223,13 @@
 // leadStep does the work that is due. It returns false if the instance may not lead any
 // longer.
 func (r *Router) leadStep(ctx context.Context, l *leadership) bool {
-	now := time.Now()
-	leaseValid := bootClock() < l.validUntil
+	now, clock := time.Now(), bootClock()
+	leaseValid := clock < l.validUntil
+	suspended := l.steppedAt > 0 && clock-l.steppedAt > maxStepGap
+	l.steppedAt = clock
+	if suspended && !leaseValid {
+		return false
+	}
 	if !l.restoredAt.IsZero() {
 		leaseValid = false
 		if !r.seekReelection(ctx, now, l) {
--- a/internal/direct/restored.go
+++ b/internal/direct/restored.go
@@ -42,8 +42,8 @@
 // seekReelection starts the next attempt to be elected again, if one is due. It returns
 // false if the leadership has ended.
 //
-// The lease of a leader that was suspended may have expired before the store was
-// restored, so that the last leader is another one. Such a leader is not followed any
+// The lease of a leader that did not run for a while may have expired before the store
+// was restored, so that the last leader is another one. Such a leader is not followed any
 // more: the attempts start only once most instances have reported since.
 func (r *Router) seekReelection(ctx context.Context, now time.Time, l *leadership) bool {
 	if now.Sub(l.restoredAt) > reelectionTimeout {
