keyspace: wait for unknown grants outlasts a change of the leader

Callers would see (OWNER): a key granted to a second upstream while the first one holds it. Cause: a leader that waits for grants which the restored store does not know stored records of the present era. If it ended during the wait, the next leader took such a record for complete. Change: until the wait is over, records state the era of the record that the leader found, so that the next leader waits as well.

--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -265,6 +265,8 @@
 	instances       []fleet.Peer // of the fleet
 	oldCallsEnd     time.Time    // no call of an earlier leader is in flight after this time
 	unknownHoldsEnd time.Time    // no upstream holds keys by a grant of an earlier leader after this time; zero if the record lists these grants
+	formerEra       fleet.Era    // of the record of the earlier leader
+	savedEra        fleet.Era    // of the last record that Save returned
 	mapSeq          uint64
 	nextFence       fleet.Fence
 	services        map[fleet.ServiceID]*service
@@ -281,6 +283,7 @@
 	co := &Coordinator{timing: t, term: term, instances: rec.Instances, nextFence: max(rec.NextFence, fleet.FirstFence(term.Era())), services: make(map[fleet.ServiceID]*service), reachability: make(map[fleet.UpstreamID]reachability), mapChanged: true}
 	latest := co.latestExpiry(now.Add(staleLeaderTime))
 	co.oldCallsEnd = latest
+	co.formerEra, co.savedEra = rec.Era, rec.Era
 	if rec.Era != term.Era() {
 		co.oldCallsEnd = latest.Add(restoredLeaderTime)
 		co.unknownHoldsEnd = co.oldCallsEnd
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -45,14 +45,26 @@
 	}
 }
 
+// recordEra returns the era that a record states. As long as upstreams may hold keys by
+// grants that this leader does not know, it is that of the former record, so that the
+// next leader waits for these grants too.
+func (co *Coordinator) recordEra(now time.Time) fleet.Era {
+	if now.Before(co.unknownHoldsEnd) {
+		return co.formerEra
+	}
+	return co.term.Era()
+}
+
 // Save returns the record to store, a function to call once it is stored, and whether
 // there is a record to store.
 func (co *Coordinator) Save(now time.Time) (Record, func(), bool) {
-	if !co.recordDirty && (co.overstatedSince.IsZero() || now.Sub(co.overstatedSince) < maxOverstatedTime) {
+	era := co.recordEra(now)
+	if era == co.savedEra && !co.recordDirty && (co.overstatedSince.IsZero() || now.Sub(co.overstatedSince) < maxOverstatedTime) {
 		return Record{}, nil, false
 	}
 	co.recordDirty, co.overstatedSince = false, time.Time{}
-	rec := Record{Era: co.term.Era(), Instances: co.instances, NextFence: co.nextFence, Services: make(map[fleet.ServiceID][]RecordShard)}
+	co.savedEra = era
+	rec := Record{Era: era, Instances: co.instances, NextFence: co.nextFence, Services: make(map[fleet.ServiceID][]RecordShard)}
 	type savedShard struct {
 		p     *shard
 		next  *transfer
