direct: apply an adjusted list of upstreams again when the adjustment ends

Cause: for some seconds after an outage or a restoration of the store an instance keeps upstreams that a list lacks, and leaves out runs that have departed. If the leader's list did not change afterwards, it was not applied again, and the adjustment stayed. And an instance that learned of the restoration from the leader did not leave out departed runs. Change: an adjusted list is due again when the adjustment ends; the era in the leader's term begins the time in which departed runs are left out.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -331,17 +331,30 @@
 	r.listEra = max(r.listEra, era)
 }
 
+// adjustList returns list with the upstreams that it lacks because of an outage or a
+// restoration of the store, and without those that it contains because of a restoration.
+// The list has to be applied again when these no longer count, also if it does not
+// change. The caller must hold mu.
+func (r *Router) adjustList(now time.Time, list []balance.Registration) []balance.Registration {
+	r.listDue = time.Time{}
+	if end := r.restoredAt.Add(restoredEntryTime); now.Before(end) {
+		if kept := r.upstreams.WithoutDeparted(list, r.restoredAt); len(kept) < len(list) {
+			list, r.listDue = kept, end
+		}
+	}
+	if end := r.outageEndedAt.Add(reregistrationGrace); now.Before(end) {
+		if kept := r.upstreams.KeepMissing(list); len(kept) > len(list) {
+			list, r.listDue = kept, end
+		}
+	}
+	return list
+}
+
 // setUpstreams applies a list of upstreams, received at now. requestedAt is when the
 // list was requested from the store, by this instance or the leader.
 func (r *Router) setUpstreams(now, requestedAt time.Time, list []balance.Registration) {
 	r.mu.Lock()
-	list = r.upstreams.KeepDraining(list)
-	if now.Sub(r.outageEndedAt) < reregistrationGrace {
-		list = r.upstreams.KeepMissing(list)
-	}
-	if now.Sub(r.restoredAt) < restoredEntryTime {
-		list = r.upstreams.WithoutDeparted(list, r.restoredAt)
-	}
+	list = r.adjustList(now, r.upstreams.KeepDraining(list))
 	changes := r.upstreams.Replace(now, list)
 	r.setListedAt(requestedAt)
 	if r.leaderList.update(now, list) {
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -203,7 +203,7 @@
 	r.mu.Lock()
 	r.leader.heardAt = now
 	r.quota.Learn(now, rp.Demand, r.reportedDemand, r.instanceCount())
-	changed := rp.List.Seq != rep.ListSeq || rp.Term != rep.ListTerm
+	changed := rp.List.Seq != rep.ListSeq || rp.Term != rep.ListTerm || !r.listDue.IsZero() && !now.Before(r.listDue)
 	var list []balance.Registration
 	if changed {
 		list = r.listReplica.apply(rp.Term, rp.List)
@@ -212,7 +212,9 @@
 	if newer && !changed && !r.listFromStore {
 		r.setListedAt(listedAt)
 	}
-	r.listEra = max(r.listEra, rp.Term.Era()) // the leader has handled the restoration
+	if era := rp.Term.Era(); era > r.listEra { // the leader keeps the upstreams that the restored store lacks
+		r.listEra, r.restoredAt = era, now
+	}
 	r.operatorSeqReceived = rp.OperatorSeq
 	if rp.OperatorTag != "" && rp.OperatorTag == r.operatorState.Load().Tag() {
 		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, now.Add(-rp.OperatorAge))
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -84,6 +84,7 @@
 	outageEndedAt       time.Time // end of the last store outage that this instance saw
 	restoredAt          time.Time // when this instance first listed upstreams from a restored store
 	listEra             fleet.Era // of the store when upstreams were last listed
+	listDue             time.Time // when the list of upstreams has to be applied again, as it was adjusted; zero if it was not
 	evacuationEndedAt   map[fleet.ZoneID]time.Time
 	// evacuationsHeldUntil is when the evacuations in a restored store are up to date again.
 	evacuationsHeldUntil time.Time
