direct, balance: an instance knows of a restoration whoever states it

Also: a former run of an upstream came back with the copy, and a run that had lapsed and registered again within a minute was left out for 6 s. Cause: the era in the leader's term was noted without its effects, evacuations noted eras by themselves, and departures were neither kept for replaced runs nor forgotten when a run returned. Change: noteEra is the only place; the leader's term, lists and the operators' keys go through it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -120,7 +120,8 @@
 	coldLimits func(fleet.ServiceID) (time.Duration, fleet.PerSecond)
 }
 
-// departure is the run of an upstream whose registration has disappeared.
+// departure is the run of an upstream whose registration has disappeared, or was replaced
+// by that of another run.
 type departure struct {
 	boot fleet.BootID
 	at   time.Time
@@ -156,6 +157,11 @@
 	limits := slotLimits(list)
 	for _, r := range list {
 		r.Slots = min(r.Slots, limits[r.Service])
+		if old := t.entries[r.ID]; old != nil && old.Boot != r.Boot {
+			t.departed[r.ID] = departure{boot: old.Boot, at: now}
+		} else if t.departed[r.ID].boot == r.Boot {
+			delete(t.departed, r.ID) // the run has registered again
+		}
 		e, kind := t.register(now, r)
 		if kind != "" {
 			changes = append(changes, Change{ID: r.ID, Kind: kind})
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -166,16 +166,11 @@
 // operators write the lost changes again within rewriteTime. Until then, the known
 // evacuations stay, and those that ended within evacuationMemory do not begin again.
 func (r *Router) holdEvacuations(now time.Time, next OperatorState) OperatorState {
-	cur := r.operatorState.Load()
-	if cur == nil {
-		return next
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if next.Revision.Era() > cur.Revision.Era() {
-		r.evacuationsHeldUntil = now.Add(rewriteTime)
-	}
-	if !now.Before(r.evacuationsHeldUntil) {
+	r.noteEra(now, next.Revision.Era())
+	cur := r.operatorState.Load()
+	if cur == nil || !now.Before(r.evacuationsHeldUntil) {
 		return next
 	}
 	held := make(map[fleet.ZoneID]bool)
@@ -280,7 +275,8 @@
 		r.noteInvalid(time.Now(), entryUpstream, list.Invalid)
 		r.mu.Lock()
 		r.listFromStore = true
-		r.noteListEra(time.Now(), list.Era)
+		r.noteEra(time.Now(), list.Era)
+		r.outageEndedAt = latest(r.outageEndedAt, r.restoredAt) // the leader's lists are complete already
 		r.mu.Unlock()
 		r.setUpstreams(time.Now(), requestedAt, list.Upstreams)
 		r.awaitListReadDue(ctx)
@@ -321,14 +317,14 @@
 	}
 }
 
-// noteListEra records the era of a list of upstreams that was read from the store. A
-// restored store lacks the registrations of some upstreams, and still has those of some
-// that have left. The caller must hold mu.
-func (r *Router) noteListEra(now time.Time, era fleet.Era) {
-	if era > r.listEra && !r.listedAt.IsZero() {
-		r.restoredAt, r.outageEndedAt = now, now
+// noteEra records the era of the store, as the store or the leader states it. What is read
+// from a restored store is incomplete until others have written again what it has lost.
+// The caller must hold mu.
+func (r *Router) noteEra(now time.Time, era fleet.Era) {
+	if r.eraKnown && era > r.era {
+		r.restoredAt, r.evacuationsHeldUntil = now, now.Add(rewriteTime)
 	}
-	r.listEra = max(r.listEra, era)
+	r.era, r.eraKnown = max(r.era, era), true
 }
 
 // adjustList returns list with the upstreams that it lacks because of an outage or a
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -124,7 +124,7 @@
 	if op := r.operatorState.Load(); op != nil && op.Table != nil {
 		m.configurationVersion.Set(float64(op.Table.Version))
 	}
-	m.storeEra.Set(float64(max(r.listEra, r.leader.term.Era())))
+	m.storeEra.Set(float64(r.era))
 	m.upstreams.Reset()
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -212,9 +212,7 @@
 	if newer && !changed && !r.listFromStore {
 		r.setListedAt(listedAt)
 	}
-	if era := rp.Term.Era(); era > r.listEra { // the leader keeps the upstreams that the restored store lacks
-		r.listEra, r.restoredAt = era, now
-	}
+	r.noteEra(now, rp.Term.Era())
 	r.operatorSeqReceived = rp.OperatorSeq
 	if rp.OperatorTag != "" && rp.OperatorTag == r.operatorState.Load().Tag() {
 		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, now.Add(-rp.OperatorAge))
--- a/internal/direct/restored_test.go
+++ b/internal/direct/restored_test.go
@@ -51,6 +51,7 @@
 func TestEvacuationsAfterRestoration(t *testing.T) {
 	r, _ := newRouter(t, "a")
 	now := time.Now()
+	r.noteEra(now, 1)
 	r.setOperatorState(now, operatorState(1, 80, 7, "ended"))
 	r.setOperatorState(now, operatorState(1, 90, 7, "lost"))
 	for _, step := range []struct {
@@ -84,7 +85,8 @@
 	}
 	list := func(at time.Time, era fleet.Era, entries ...balance.Registration) {
 		r.mu.Lock()
-		r.noteListEra(at, era)
+		r.noteEra(at, era)
+		r.outageEndedAt = latest(r.outageEndedAt, r.restoredAt)
 		r.mu.Unlock()
 		r.setUpstreams(at, at, entries)
 	}
@@ -109,6 +111,58 @@
 	}
 }
 
+// Guards against a former run of an upstream that replaces the present one because the
+// copy still lists it, and against leaving out a run that has registered again.
+func TestRunsAfterRestoration(t *testing.T) {
+	r, _ := newRouter(t, "a")
+	now := time.Now()
+	list := func(after time.Duration, era fleet.Era, boots ...fleet.BootID) {
+		var entries []balance.Registration
+		for i, boot := range boots {
+			if boot != "" {
+				entries = append(entries, balance.Registration{ID: fleet.UpstreamID(rune('u' + i)), Service: "s", Zone: "z", Boot: boot, Slots: 1})
+			}
+		}
+		at := now.Add(after)
+		r.mu.Lock()
+		r.noteEra(at, era)
+		r.outageEndedAt = latest(r.outageEndedAt, r.restoredAt)
+		r.mu.Unlock()
+		r.setUpstreams(at, at, entries)
+	}
+	list(0, 1, "1", "1")
+	list(time.Second, 1, "2", "")
+	list(2*time.Second, 1, "2", "1")
+	list(3*time.Second, 2, "1", "1")
+	for id, want := range map[fleet.UpstreamID]fleet.BootID{"u": "2", "v": "1"} {
+		if e := r.upstreams.Get(id); e == nil || e.Boot != want {
+			t.Errorf("upstream %s: entry %+v, want run %s", id, e, want)
+		}
+	}
+}
+
+// Guards against an instance that learns of a restoration from the leader, and later takes
+// what it reads from the store as complete.
+func TestRestorationLearnedFromLeader(t *testing.T) {
+	r, _ := newRouter(t, "a")
+	now := time.Now()
+	r.noteEra(now, 1)
+	r.setOperatorState(now, operatorState(1, 90, 7, "lost"))
+	r.mu.Lock()
+	r.upstreams.Replace(now.Add(-time.Minute/2), []balance.Registration{{ID: "gone", Boot: "1", Service: "s", Slots: 1}})
+	r.upstreams.Replace(now.Add(-time.Second), nil)
+	r.mu.Unlock()
+	r.applyReply(now, report{}, reply{Term: fleet.NewRevision(2, 40)})
+	at := now.Add(time.Second)
+	if held := r.holdEvacuations(at, operatorState(2, 41, 7)); !held.Evacuated["lost"] {
+		t.Error("the evacuation that the restored store lacks has ended")
+	}
+	r.setUpstreams(at, at, []balance.Registration{{ID: "gone", Boot: "1", Service: "s", Slots: 1}})
+	if r.upstreams.Get("gone") != nil {
+		t.Error("the upstream that has left came back")
+	}
+}
+
 // leaderKeyStore is a store that contains only a leader key.
 type leaderKeyStore struct {
 	Store
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -82,8 +82,9 @@
 	storeFailingSince   time.Time // first failed call since then; zero if there is none
 	listedDuringFailure time.Time // when the leader's first list since the last failed call was requested
 	outageEndedAt       time.Time // end of the last store outage that this instance saw
-	restoredAt          time.Time // when this instance first listed upstreams from a restored store
-	listEra             fleet.Era // of the store when upstreams were last listed
+	era                 fleet.Era // of the store, as far as this instance knows
+	eraKnown            bool
+	restoredAt          time.Time // when this instance learned of the present era; zero if it knew no earlier one
 	listDue             time.Time // when the list of upstreams has to be applied again, as it was adjusted; zero if it was not
 	evacuationEndedAt   map[fleet.ZoneID]time.Time
 	// evacuationsHeldUntil is when the evacuations in a restored store are up to date again.
