direct: what shows that a leader is still followed is newer than the restoration

Callers could see (OWNER): keys with two holders after a restoration, if the leader that had itself elected again was not the last one. Found by the review with unit tests: reports that were held up on a link counted as new; a leader that had lost the others for 4 s, and then the store, was its own majority. And the late result of a renewal of the former lease ended a leader that had just been elected again. Cause: a report counted by the time at which it was processed; silent members were removed also without a valid lease; results of renewals named no lease. Change: replies carry the number of restorations that the leader has learned of, and only reports that repeat it count; members stay while the lease is invalid; a result for another lease is ignored. The time is taken from the clock that counts suspensions. Measured: TestReelectionNeedsFollowers (case 'held-up reports'), TestLeaderWithoutLeaseKeepsMembers and TestRenewalOfFormerLeaseIsIgnored pass; the reviewer's scratch tests of the same failed before.

--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -85,7 +85,8 @@
 	lease             Lease
 	validUntil        time.Duration // on the clock of bootClock
 	steppedAt         time.Duration // time of the last leadStep, on the clock of bootClock
-	restoredAt        time.Time     // when the leader learned that its lease is from an earlier era of the store; zero if it is not
+	restoredAt        time.Duration // when the leader learned that its lease is from an earlier era of the store, on the clock of bootClock; 0 if it is not
+	restorations      uint64        // that it has learned of; guarded by Router.mu
 	electing          bool
 	electionDue       time.Time
 	elections         chan electionResult
@@ -118,6 +119,8 @@
 	heardAt  time.Time                   // last report
 	demand   map[fleet.AccountID]float64 // requests/s
 	storeAge time.Duration               // since its last successful store call, at heardAt
+	// restorations is the number in the last reply that the instance had when it reported.
+	restorations uint64
 }
 
 // callResult is the result of a grant or release call to an upstream.
@@ -137,6 +140,7 @@
 
 // renewResult is the result of a renewal of the leader's lease.
 type renewResult struct {
+	lease  Lease
 	sentAt time.Duration // on the clock of bootClock
 	err    error
 }
@@ -202,6 +206,9 @@
 			}
 		case res := <-l.renewResults:
 			l.renewing = false
+			if res.lease != l.lease {
+				continue // the leader has been elected again since
+			}
 			if errors.Is(res.err, ErrLeaseEnded) {
 				return
 			}
@@ -230,7 +237,7 @@
 	if suspended && !leaseValid {
 		return false
 	}
-	if !l.restoredAt.IsZero() {
+	if l.restoredAt > 0 {
 		leaseValid = false
 		if !r.seekReelection(ctx, now, l) {
 			return false
@@ -244,7 +251,7 @@
 	if !now.Before(l.planDue) {
 		l.planDue = now.Add(planInterval)
 		r.applyReport(now, l, r.collectReport(now))
-		r.updateMembers(now, l)
+		r.updateMembers(now, l, leaseValid)
 		r.sumDemand(now, l)
 		r.setCandidates(now, l)
 		if leaseValid {
@@ -304,7 +311,7 @@
 		defer cancel()
 		sentAt := bootClock()
 		err := r.platform.Store.RenewLease(ctx, lease)
-		l.renewResults <- renewResult{sentAt: sentAt, err: err}
+		l.renewResults <- renewResult{lease: lease, sentAt: sentAt, err: err}
 	}()
 }
 
@@ -316,7 +323,7 @@
 		l.validUntil = res.sentAt + leaderLeaseTTL - leaseMargin
 		r.mu.Unlock()
 	case errors.Is(res.err, ErrRestored):
-		r.noteRestored(now, l)
+		r.noteRestored(l)
 	}
 	r.noteStoreResult(now, res.err)
 }
@@ -382,7 +389,7 @@
 		return true
 	}
 	if errors.Is(res.err, ErrRestored) {
-		r.noteRestored(time.Now(), l)
+		r.noteRestored(l)
 		return true
 	}
 	if res.err != nil {
@@ -485,13 +492,14 @@
 // upstream that answered a few requests immediately would be assigned all keys.
 const minServiceTime = 0.005
 
-// updateMembers removes instances that have stopped reporting. It records the current
+// updateMembers removes instances that have stopped reporting, but not while the lease is
+// invalid: a leader that has lost the others must not become its own majority. It records the current
 // instances if their number has grown, or fallen below minRecordedShare of the recorded
 // number.
-func (r *Router) updateMembers(now time.Time, l *leadership) {
+func (r *Router) updateMembers(now time.Time, l *leadership, leaseValid bool) {
 	var current []fleet.Peer
 	for id, m := range l.members {
-		if now.Sub(m.heardAt) > memberTimeout {
+		if leaseValid && now.Sub(m.heardAt) > memberTimeout {
 			delete(l.members, id)
 			r.log.Info("instance removed after missing reports", "instance", id)
 			continue
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -76,6 +76,13 @@
 	return err
 }
 
+func encodeRestorations(e *jx.Encoder, n uint64) {
+	if n > 0 {
+		e.FieldStart("restorations")
+		e.UInt64(n)
+	}
+}
+
 func (r report) encode() []byte {
 	var e jx.Encoder
 	e.ObjStart()
@@ -97,6 +104,7 @@
 	e.UInt64(r.OperatorSeq)
 	e.FieldStart("operator")
 	e.Str(r.OperatorTag)
+	encodeRestorations(&e, r.Restorations)
 	encodeDemand(&e, r.Demand)
 	e.FieldStart("speeds")
 	e.ObjStart()
@@ -155,6 +163,8 @@
 			r.OperatorSeq, err = d.UInt64()
 		case "operator":
 			r.OperatorTag, err = d.Str()
+		case "restorations":
+			r.Restorations, err = d.UInt64()
 		case "demand":
 			r.Demand, err = decodeDemand(d)
 		case "speeds":
@@ -182,6 +192,7 @@
 	var e jx.Encoder
 	e.ObjStart()
 	encodeRevision(&e, "term", "era", r.Term)
+	encodeRestorations(&e, r.Restorations)
 	if len(r.Members) > 0 {
 		e.FieldStart("instances")
 		fleet.EncodePeers(&e, r.Members)
@@ -260,6 +271,8 @@
 			err = decodeNumber(d, &r.Term)
 		case "era":
 			err = decodeEra(d, &r.Term)
+		case "restorations":
+			r.Restorations, err = d.UInt64()
 		case "instances":
 			r.Members, err = fleet.DecodePeers(d)
 		case "demand":
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -76,11 +76,15 @@
 	ListSeq       uint64                               // version of this list
 	OperatorSeq   uint64                               // last version of the operator state received from this leader
 	OperatorTag   string                               // tag of the sender's operator state
+	Restorations  uint64                               // number in the last reply of this leader
 }
 
 // reply is the leader's answer to a report.
 type reply struct {
 	Term fleet.Revision
+	// Restorations is the number of restorations of the store that the leader has learned
+	// of. An instance repeats it in its reports, which shows that it still follows.
+	Restorations uint64
 	// MapVersion is 0 if the instance has the current holder map. Else MapSpans holds
 	// the changes from the instance's map, or the whole map if WholeMap is set.
 	MapVersion keyspace.MapVersion
@@ -115,7 +119,7 @@
 	})
 	rep.InstancesHash = fingerprint(r.instances)
 	rep.ListTerm, rep.ListSeq = r.listReplica.term, r.listReplica.seq
-	rep.OperatorSeq, rep.OperatorTag = r.operatorSeqReceived, op.Tag()
+	rep.OperatorSeq, rep.OperatorTag, rep.Restorations = r.operatorSeqReceived, op.Tag(), r.leaderRestorations
 	if m := r.holderMap.Load(); m != nil {
 		rep.MapVersion = m.Version
 	}
@@ -213,7 +217,7 @@
 		r.setListedAt(listedAt)
 	}
 	r.noteEra(now, rp.Term.Era())
-	r.operatorSeqReceived = rp.OperatorSeq
+	r.operatorSeqReceived, r.leaderRestorations = rp.OperatorSeq, rp.Restorations
 	if rp.OperatorTag != "" && rp.OperatorTag == r.operatorState.Load().Tag() {
 		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, now.Add(-rp.OperatorAge))
 	}
@@ -312,7 +316,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if rep.OperatorSeq != r.operatorSeq {
+	if rep.OperatorSeq != r.operatorSeq || rep.Restorations != l.restorations {
 		return true
 	}
 	return rep.ListTerm != l.term || rep.ListSeq != r.leaderList.seq
@@ -332,7 +336,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rp.Term, rp.OperatorSeq = l.term, r.operatorSeq
+	rp.Term, rp.OperatorSeq, rp.Restorations = l.term, r.operatorSeq, l.restorations
 	if m := r.holderMap.Load(); m != nil && rep.MapVersion.Less(m.Version) {
 		rp.MapVersion = m.Version
 		if old := r.recentMaps[rep.MapVersion]; old != nil {
@@ -362,7 +366,7 @@
 	if demand == nil {
 		demand = l.members[rep.Instance].demand
 	}
-	l.members[rep.Instance] = member{addr: rep.Addr, heardAt: now, demand: demand, storeAge: rep.StoreAge}
+	l.members[rep.Instance] = member{addr: rep.Addr, heardAt: now, demand: demand, storeAge: rep.StoreAge, restorations: rep.Restorations}
 	for id, keys := range rep.Keys {
 		h := l.coordinator.LoadCounter(id)
 		if h == nil {
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -18,7 +18,7 @@
 // Guards against messages that change in encoding and decoding.
 func TestReportRoundTrip(t *testing.T) {
 	rep := report{
-		Instance: "i1", Addr: "1.2.3.4:6", MapVersion: keyspace.MapVersion{Term: 3, Seq: 9},
+		Instance: "i1", Addr: "1.2.3.4:6", Restorations: 2, MapVersion: keyspace.MapVersion{Term: 3, Seq: 9},
 		Keys:         map[fleet.ServiceID][]keyspace.Key{"s": {1, 65535}},
 		Demand:       map[fleet.AccountID]float64{"a": 12.5},
 		ServiceTimes: map[fleet.UpstreamID]balance.Samples{"u": {Unqueued: 2, UnqueuedSeconds: 0.25, Queued: 3, Lost: 1}},
@@ -32,7 +32,7 @@
 		t.Error("a report without an instance ID was accepted")
 	}
 	rp := reply{
-		Term: 3, MapVersion: keyspace.MapVersion{Term: 3, Seq: 10}, WholeMap: true,
+		Term: 3, Restorations: 1, MapVersion: keyspace.MapVersion{Term: 3, Seq: 10}, WholeMap: true,
 		MapSpans: map[fleet.ServiceID][]keyspace.HeldSpan{"s": {
 			{Span: keyspace.Span{From: 0, To: 9}, Holder: "u"}, {Span: keyspace.Span{From: 10, To: 65535}},
 		}},
--- a/internal/direct/restored.go
+++ b/internal/direct/restored.go
@@ -28,13 +28,14 @@
 }
 
 // noteRestored records that the lease of a leader is from an earlier era of the store.
-func (r *Router) noteRestored(now time.Time, l *leadership) {
-	if !l.restoredAt.IsZero() {
+func (r *Router) noteRestored(l *leadership) {
+	if l.restoredAt > 0 {
 		return
 	}
-	l.restoredAt, l.electionDue = now, now
+	l.restoredAt, l.electionDue = bootClock(), time.Time{}
 	r.log.Warn("the store was restored from a copy", "term", l.term)
 	r.mu.Lock()
+	l.restorations++
 	r.wakeReports() // so that followers report again
 	r.mu.Unlock()
 }
@@ -44,14 +45,15 @@
 //
 // The lease of a leader that did not run for a while may have expired before the store
 // was restored, so that the last leader is another one. Such a leader is not followed any
-// more: the attempts start only once most instances have reported since.
+// more: the attempts start only once most instances have reported since, and have
+// received a reply that was sent since, as an earlier report may have been held up.
 func (r *Router) seekReelection(ctx context.Context, now time.Time, l *leadership) bool {
-	if now.Sub(l.restoredAt) > reelectionTimeout {
+	if bootClock()-l.restoredAt > reelectionTimeout {
 		return false
 	}
 	reporting := 0
 	for id, m := range l.members {
-		if id == r.cfg.Instance || m.heardAt.After(l.restoredAt) {
+		if id == r.cfg.Instance || m.restorations == l.restorations {
 			reporting++
 		}
 	}
@@ -97,7 +99,7 @@
 	l.term, l.lease, l.validUntil = res.election.term, res.election.lease, res.election.validUntil
 	r.leader.term, r.leader.heardAt = l.term, now
 	r.mu.Unlock()
-	l.recordRev, l.restoredAt, l.renewDue = res.recordRev, time.Time{}, now
+	l.recordRev, l.restoredAt, l.renewDue = res.recordRev, 0, now
 	l.coordinator.Reelected(l.term)
 	r.log.Info("leading", "term", l.term, "record-revision", l.recordRev)
 	return true
--- a/internal/direct/restored_test.go
+++ b/internal/direct/restored_test.go
@@ -194,7 +194,7 @@
 		wantTry   bool
 		wantLead  bool
 	}{
-		"nobody reports":     {reporting: 0, wantLead: true},
+		"held-up reports":    {reporting: 0, wantLead: true},
 		"a minority reports": {reporting: 2, wantLead: true},
 		"a majority reports": {reporting: 3, wantLead: true, wantTry: true},
 		"nobody in time":     {reporting: 0, after: reelectionTimeout + 1},
@@ -205,15 +205,16 @@
 			term: fleet.NewRevision(1, 90), members: map[fleet.InstanceID]member{"a": {heardAt: now}},
 			elections: make(chan electionResult, 1), coordinator: keyspace.NewCoordinator(now, fleet.NewRevision(1, 90), keyspace.Timing{}, keyspace.Record{Era: 1}),
 		}
-		r.noteRestored(now, l)
+		r.noteRestored(l)
+		l.restoredAt -= c.after
 		for i := range 5 {
-			heardAt := now.Add(-time.Second)
+			rep := report{Instance: fleet.InstanceID(rune('b' + i))} // as sent before the restoration
 			if i < c.reporting {
-				heardAt = now.Add(time.Millisecond)
+				rep.Restorations = r.reply(l, rep).Restorations
 			}
-			l.members[fleet.InstanceID(rune('b'+i))] = member{heardAt: heardAt}
+			r.applyReport(now, l, rep)
 		}
-		lead := r.seekReelection(t.Context(), now.Add(c.after+2*time.Millisecond), l)
+		lead := r.seekReelection(t.Context(), now, l)
 		if lead != c.wantLead || l.electing != c.wantTry {
 			t.Errorf("%s: leads on %t, tries to be elected %t", name, lead, l.electing)
 		}
@@ -222,3 +223,46 @@
 		}
 	}
 }
+
+// Guards against a leader that has lost all other instances and becomes its own majority
+// when they are removed for their silence.
+func TestLeaderWithoutLeaseKeepsMembers(t *testing.T) {
+	now := time.Now()
+	for _, leaseValid := range []bool{true, false} {
+		r, _ := newRouter(t, "a")
+		l := &leadership{
+			members:     map[fleet.InstanceID]member{"a": {heardAt: now}, "b": {heardAt: now.Add(-2 * memberTimeout)}, "c": {heardAt: now.Add(-2 * memberTimeout)}},
+			coordinator: keyspace.NewCoordinator(now, 1, keyspace.Timing{}, keyspace.Record{}),
+		}
+		r.updateMembers(now, l, leaseValid)
+		if got := len(l.members); (got == 1) != leaseValid {
+			t.Errorf("lease valid %t: %d members", leaseValid, got)
+		}
+	}
+}
+
+// Guards against a leader that ends because of the late result of a renewal of the lease
+// that it had before it was elected again.
+func TestRenewalOfFormerLeaseIsIgnored(t *testing.T) {
+	r, _ := newRouter(t, "a")
+	now := time.Now()
+	l := &leadership{
+		term: fleet.NewRevision(2, 40), lease: Lease{Era: 2, ID: 9}, validUntil: bootClock() + time.Minute, renewDue: now.Add(time.Minute),
+		members: make(map[fleet.InstanceID]member), planDue: now.Add(time.Minute), publishDue: now.Add(time.Minute), stop: make(chan struct{}),
+		renewResults: make(chan renewResult, 1), coordinator: keyspace.NewCoordinator(now, fleet.NewRevision(2, 40), keyspace.Timing{}, keyspace.Record{Era: 2}),
+	}
+	l.renewResults <- renewResult{lease: Lease{Era: 1, ID: 7}, err: ErrLeaseEnded}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { r.lead(ctx, l); close(ended) }()
+	for len(l.renewResults) > 0 {
+		sleep(t.Context(), time.Millisecond)
+	}
+	select {
+	case <-ended:
+		t.Error("the leadership ended")
+	case <-time.After(4 * leaderTick):
+	}
+	cancel()
+	<-ended
+}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -101,6 +101,7 @@
 	listReplica         listReplica
 	listFromStore       bool   // the list of upstreams was read from the store, not received from the leader
 	operatorSeqReceived uint64 // last version of the operator state received from the leader
+	leaderRestorations  uint64 // in the leader's last reply
 
 	// Data for replies, if this instance leads.
 	leadership  *leadership   // nil unless this instance leads
