direct: a first election, the fleet and the map of a new leader after a restoration

Cause: only the latest leader was remembered; the record of an earlier era was believed; a map was labelled by the reply's term. Change: the first era that an instance knew is kept; the instances of an earlier record are merged with the known ones; a map is sent by the leader of its term only. Measured: TestFirstElection and TestMapOfFormerTermIsNotSent pass.

--- a/internal/direct/elect.go
+++ b/internal/direct/elect.go
@@ -129,6 +129,7 @@
 
 func (r *Router) setLeader(info leaderInfo) {
 	r.mu.Lock()
+	r.noteEra(info.heardAt, info.term.Era())
 	changed := r.leader.term != info.term
 	r.leader = info
 	if changed {
@@ -199,6 +200,9 @@
 		record.Era = l.term.Era()
 	}
 	if record.Era != l.term.Era() {
+		r.mu.Lock()
+		record.Instances = mergeInstances(r.instances, record.Instances, 0)
+		r.mu.Unlock()
 		r.log.Warn("ownership record is from before the store was restored", "record-era", uint64(record.Era), "term", l.term)
 	}
 	l.recordRev, l.recordedInstances, l.recordedCount = recordRev, record.Instances, len(record.Instances)
@@ -206,13 +210,12 @@
 	return l, nil
 }
 
-// isFirstElection reports whether no leader has been elected before the given term: the
-// whole fleet has started for the first time, and this instance knows no leader from
-// before a restoration of the store.
+// isFirstElection reports whether no record can have been lost before the given term: the
+// whole fleet has started for the first time, and this instance knows no earlier era.
 func (r *Router) isFirstElection(term fleet.Revision) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cfg.FirstStart && (r.leader.term == 0 || r.leader.term.Era() == term.Era())
+	return r.cfg.FirstStart && (!r.eraKnown || r.firstEra == term.Era())
 }
 
 // putLeaderKey writes the leader key. If the answer is lost, it reads the key to find
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -324,7 +324,10 @@
 	if r.eraKnown && era > r.era {
 		r.restoredAt, r.evacuationsHeldUntil = now, now.Add(rewriteTime)
 	}
-	r.era, r.eraKnown = max(r.era, era), true
+	if !r.eraKnown {
+		r.firstEra, r.eraKnown = era, true
+	}
+	r.era = max(r.era, era)
 }
 
 // adjustList returns list with the upstreams that it lacks because of an outage or a
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -311,11 +311,11 @@
 
 // hasUpdate reports whether the leader has state that the sender of rep lacks.
 func (r *Router) hasUpdate(l *leadership, rep report) bool {
-	if m := r.holderMap.Load(); m != nil && rep.MapVersion.Less(m.Version) {
-		return true
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if m := r.holderMap.Load(); m != nil && m.Version.Term == l.term && rep.MapVersion.Less(m.Version) {
+		return true
+	}
 	if rep.OperatorSeq != r.operatorSeq || rep.Restorations != l.restorations {
 		return true
 	}
@@ -337,7 +337,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rp.Term, rp.OperatorSeq, rp.Restorations = l.term, r.operatorSeq, l.restorations
-	if m := r.holderMap.Load(); m != nil && rep.MapVersion.Less(m.Version) {
+	// The receiver takes the map for one of this term.
+	if m := r.holderMap.Load(); m != nil && m.Version.Term == l.term && rep.MapVersion.Less(m.Version) {
 		rp.MapVersion = m.Version
 		if old := r.recentMaps[rep.MapVersion]; old != nil {
 			rp.MapSpans = m.Diff(old)
--- a/internal/direct/restored_test.go
+++ b/internal/direct/restored_test.go
@@ -266,3 +266,45 @@
 	cancel()
 	<-ended
 }
+
+// Guards against a fleet that counts as started for the first time although the record of
+// an earlier era is lost, so that its leader would not wait for unknown grants.
+func TestFirstElection(t *testing.T) {
+	for name, c := range map[string]struct {
+		firstStart bool
+		eras       []fleet.Era // of the leaders that the instance knew
+		want       bool
+	}{
+		"first leader":                      {true, nil, true},
+		"leader before, not restored":       {true, []fleet.Era{2}, true},
+		"leader before the restoration":     {true, []fleet.Era{1}, false},
+		"leaders before and since":          {true, []fleet.Era{1, 2}, false},
+		"instance that was started later":   {false, nil, false},
+		"the same, with a leader of before": {false, []fleet.Era{2}, false},
+	} {
+		r, _ := newRouter(t, "a")
+		r.cfg.FirstStart = c.firstStart
+		for _, era := range c.eras {
+			r.setLeader(leaderInfo{id: "b", term: fleet.NewRevision(era, 5), heardAt: time.Now()})
+		}
+		if got := r.isFirstElection(fleet.NewRevision(2, 40)); got != c.want {
+			t.Errorf("%s: %t, want %t", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a new leader that sends the former leader's map as one of its own term:
+// its first maps would be older than that, and be ignored.
+func TestMapOfFormerTermIsNotSent(t *testing.T) {
+	r, _ := newRouter(t, "a")
+	r.setHolderMap(&keyspace.Map{Version: keyspace.MapVersion{Term: 4, Seq: 500}})
+	l := &leadership{term: 5}
+	rep := report{MapVersion: keyspace.MapVersion{Term: 4, Seq: 2}}
+	if rp := r.reply(l, rep); rp.MapVersion.Seq != 0 || rp.WholeMap {
+		t.Errorf("reply with map %v, whole %t", rp.MapVersion, rp.WholeMap)
+	}
+	r.setHolderMap(&keyspace.Map{Version: keyspace.MapVersion{Term: 5, Seq: 1}})
+	if rp := r.reply(l, rep); rp.MapVersion.Seq != 1 {
+		t.Errorf("reply with map %v, want that of the leader's term", rp.MapVersion)
+	}
+}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -83,6 +83,7 @@
 	listedDuringFailure time.Time // when the leader's first list since the last failed call was requested
 	outageEndedAt       time.Time // end of the last store outage that this instance saw
 	era                 fleet.Era // of the store, as far as this instance knows
+	firstEra            fleet.Era // the first that this instance knew, if eraKnown
 	eraKnown            bool
 	restoredAt          time.Time // when this instance learned of the present era; zero if it knew no earlier one
 	listDue             time.Time // when the list of upstreams has to be applied again, as it was adjusted; zero if it was not
