quota: an earlier clock reading does not refill a bucket twice

Callers could see more requests admitted than the limit of an account that a home counts: requests are counted with the time of their receipt, token requests of other instances with the time of the call. Cause: a home set the time of the last refill back when a request's time was read before that of an earlier call, and the next call refilled the time in between once more. CountedByHome did the same to the bucket of an account that is divided again. Change: the time of the last refill never decreases.

--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -53,8 +53,13 @@
 		p = &homeBucket{tokens: max(1, rate*initialTokenTime.Seconds()), lastRefill: now}
 		h.accounts[id] = p
 	}
-	p.tokens = min(p.tokens+rate*max(0, now.Sub(p.lastRefill).Seconds()), depth)
-	p.lastRefill = now
+	// The time of a request may have been read before that of an earlier call. lastRefill
+	// never decreases, since the time in between would be refilled twice.
+	if dt := now.Sub(p.lastRefill); dt > 0 {
+		p.tokens += rate * dt.Seconds()
+		p.lastRefill = now
+	}
+	p.tokens = min(p.tokens, depth)
 	if p.tokens < 1 {
 		return false, time.Duration((1 - p.tokens) / rate * float64(time.Second))
 	}
@@ -70,5 +75,8 @@
 		b = &bucket{}
 		t.accounts[id] = b
 	}
-	b.limit, b.tokens, b.lastRefill, b.demand = limit, 0, now, 0
+	b.limit, b.tokens, b.demand = limit, 0, 0
+	if now.After(b.lastRefill) {
+		b.lastRefill = now
+	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -219,6 +219,38 @@
 	}
 }
 
+// Guards against a home that refills the same time twice when the time of a request was
+// read before that of an earlier call, for example while it waited for a lock.
+func TestHomeIgnoresEarlierReadings(t *testing.T) {
+	home, admitted := NewHome(cfg), 0
+	limit := fleet.Limit{Rate: 4, Burst: 50}
+	for i := range 1000 {
+		now := start
+		if i%2 == 0 {
+			now = start.Add(time.Second)
+		}
+		if ok, _ := home.Admit(now, "a", limit); ok {
+			admitted++
+		}
+	}
+	if most := 1 + 4; admitted > most {
+		t.Errorf("%d admitted within 1 s by a home that starts, want at most %d", admitted, most)
+	}
+}
+
+// Guards against a table that refills the same time twice when the home counts a request
+// whose time was read before that of an earlier request.
+func TestCountedByHomeIgnoresEarlierReadings(t *testing.T) {
+	limit := fleet.Limit{Rate: 30, Burst: 300}
+	table := New(start.Add(-time.Minute), cfg)
+	now := start.Add(10 * time.Second)
+	table.CountedByHome(now, "a", limit)
+	table.CountedByHome(start, "a", limit)
+	if ok, _ := table.Admit(now, "a", limit, 1); ok {
+		t.Error("admitted at the time up to which the home counted, want no token")
+	}
+}
+
 // Guards against a full burst at each instance when a limit that the home has counted is
 // divided again.
 func TestNoBurstAfterHomeCounting(t *testing.T) {
