direct: read the registration of an upstream under its lock

Callers saw nothing; the race detector stops a process that does this. Cause: a request read id and address of an upstream without the lock, while a new list of upstreams writes the same values, each time an entry's heartbeat changes it. Change: send copies the registration under the lock, and chooseUpstream adds the upstream to those tried.

--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -55,19 +55,22 @@
 // send sends x to an upstream and records the result.
 func (r *Router) send(ctx context.Context, x *exchange, upstream *balance.Entry) attempt {
 	sentAt := time.Now()
-	a := attempt{upstream: upstream, id: upstream.ID}
+	r.mu.Lock()
+	run := upstream.Registration
+	r.mu.Unlock()
+	a := attempt{upstream: upstream, id: run.ID}
 	req := &http1.Request{
 		Method: x.method, Target: x.target, Host: x.host, Body: x.body, Attempts: &x.attemptGroup,
-		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: upstream.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
+		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
-	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, upstream.Addr, req, func(res *http1.Response) bool {
+	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
 		return mayAnswer(r.platform.Protocol.ParseResponse(res.Status, res.Header).ID, x.info.ID, res.FirstOnConn)
 	})
 	now := time.Now()
 	if a.err == nil {
 		a.metadata = r.platform.Protocol.ParseResponse(a.response.Status, a.response.Header)
 		if a.metadata.NotRun && a.metadata.ID == "" && !a.response.FirstOnConn {
-			a.err = &http1.LostError{Addr: upstream.Addr, Err: errors.New("the refusal has no request id and may belong to an earlier request")}
+			a.err = &http1.LostError{Addr: run.Addr, Err: errors.New("the refusal has no request id and may belong to an earlier request")}
 		}
 	}
 	a.verdict = classify(ctx, a)
@@ -77,7 +80,7 @@
 	x.attempts = append(x.attempts, formatAttempt(a, now.Sub(sentAt)))
 	r.mu.Unlock()
 	if noAnswer {
-		r.platform.UpstreamTransport.CloseIdle(upstream.Addr) // its other connections may have failed silently too
+		r.platform.UpstreamTransport.CloseIdle(run.Addr) // its other connections may have failed silently too
 	}
 	return a
 }
@@ -140,14 +143,16 @@
 	return outcome{status: a.response.Status, header: p.CallerHeader(a.response.Header), body: a.response.Body}
 }
 
-// chooseUpstream selects an upstream by load balancing and counts the request as in
-// flight there. If there is none, it returns the reason.
+// chooseUpstream selects an upstream by load balancing that is not in tried, adds it to
+// tried and counts the request as in flight there. If there is none, it returns the
+// reason.
 func (r *Router) chooseUpstream(now time.Time, x *exchange, tried map[fleet.UpstreamID]bool) (*balance.Entry, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	upstream, reason := r.upstreams.Choose(now, balance.Query{Service: x.service.ID, Zone: r.cfg.Zone, Target: x.route.Target, Exclude: tried})
 	if upstream != nil {
 		r.upstreams.Started(now, upstream)
+		tried[upstream.ID] = true
 	}
 	return upstream, reason
 }
@@ -222,7 +227,6 @@
 	if upstream == nil {
 		return reason, false
 	}
-	f.tried[upstream.ID] = true
 	f.running++
 	f.mayHaveRun++
 	f.x.arrivals++
