direct, balance: an upstream's own word that it leaves binds at once

Callers would see (DRAIN): requests sent to an upstream long after its answers have said that it leaves, when the store is away, or its list is late or was restored. Cause: nothing read Server-Leaving; only the list of upstreams counted. Change: the header counts on any answer to a request, also one whose body is cut, and to a grant or release. It marks the run (ID, boot and address) to which the request was sent; Usable and Choose exclude it until the run ends. A list that calls it ready does not end this, nor does one that lacks it for up to a minute. KeepDraining and KeepMissing treat it like a draining one, so a leader's list passes it on. The time since an upstream leaves is part of its entry; before, one that was draining when it was first listed kept getting requests for its keys. The program makes no liveness checks of upstreams.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,7 +7,8 @@
 // and returns the one with the lowest.
 //
 // Invariants:
-//   - an upstream that is draining, gone or in an evacuated zone is sent no requests
+//   - an upstream that is leaving, gone or in an evacuated zone is sent no requests; one
+//     that has said in an answer that it leaves does so until it ends, whatever is listed
 //   - the request rate to a cold upstream from all instances together stays within its
 //     limit; each instance computes its share of the limit without communication
 package balance
@@ -87,7 +88,9 @@
 // Entry is an upstream with the state that this instance has observed.
 type Entry struct {
 	Registration
-	InFlight        int // requests of this instance
+	InFlight        int       // requests of this instance
+	leavingSince    time.Time // when this instance learned that the upstream leaves; zero if it does not
+	saidLeaving     bool      // an answer of this run has said that it leaves
 	coldUntil       time.Time
 	nextColdRequest time.Time // earliest time of the next request while cold
 
@@ -122,8 +125,11 @@
 
 // departure is the run of an upstream whose registration has disappeared.
 type departure struct {
-	boot fleet.BootID
-	at   time.Time
+	boot         fleet.BootID
+	addr         string
+	at           time.Time
+	saidLeaving  bool
+	leavingSince time.Time
 }
 
 // departureMemory is the time for which departures are remembered, longer than
@@ -166,7 +172,7 @@
 	for id, e := range t.entries {
 		if entries[id] == nil {
 			changes = append(changes, Change{ID: id, Kind: "gone"})
-			t.departed[id] = departure{boot: e.Boot, at: now}
+			t.departed[id] = departure{boot: e.Boot, addr: e.Addr, at: now, saidLeaving: e.saidLeaving, leavingSince: e.leavingSince}
 		}
 	}
 	maps.DeleteFunc(t.departed, func(_ fleet.UpstreamID, d departure) bool { return now.Sub(d.at) > departureMemory })
@@ -193,14 +199,14 @@
 }
 
 // KeepMissing returns list with the known upstreams that it lacks, except those that
-// were draining.
+// leave.
 func (t *Table) KeepMissing(list []Registration) []Registration {
 	listed := make(map[fleet.UpstreamID]bool, len(list))
 	for _, r := range list {
 		listed[r.ID] = true
 	}
 	for id, e := range t.entries {
-		if !listed[id] && !e.Draining {
+		if !listed[id] && !e.Leaving() {
 			r := e.Registration
 			r.ColdLeft = 0 // already part of coldUntil
 			list = append(list, r)
@@ -210,12 +216,12 @@
 }
 
 // KeepDraining returns list with those upstreams marked as draining whose runs are known
-// to drain: they do not return, but a store that was restored from a copy may list their
-// earlier registrations.
+// to leave: they do not return, but their registrations may be late, or from a store that
+// was restored from a copy.
 func (t *Table) KeepDraining(list []Registration) []Registration {
 	list = slices.Clone(list)
 	for i, r := range list {
-		if e := t.entries[r.ID]; e != nil && e.Boot == r.Boot && e.Draining {
+		if e := t.entries[r.ID]; e != nil && e.Boot == r.Boot && e.Addr == r.Addr && e.Leaving() {
 			list[i].Draining = true
 		}
 	}
@@ -237,6 +243,9 @@
 	switch {
 	case !known:
 		e, kind = &Entry{lastLearned: now}, "new"
+		if d := t.departed[r.ID]; d.saidLeaving && d.boot == r.Boot && d.addr == r.Addr {
+			e.saidLeaving, e.leavingSince = true, d.leavingSince
+		}
 	case e.Boot != r.Boot || e.Addr != r.Addr:
 		e, kind = &Entry{lastLearned: now}, "restarted"
 	case !e.Draining && r.Draining:
@@ -246,9 +255,32 @@
 		e.coldUntil = until
 	}
 	e.Registration = r
+	if r.Draining && e.leavingSince.IsZero() {
+		e.leavingSince = now
+	}
 	return e, kind
 }
 
+// SaidLeaving records that an answer of the run e has said that it leaves. It holds for
+// this run until its registration is gone, whatever later lists say. It reports whether
+// this is the first such answer.
+func (t *Table) SaidLeaving(now time.Time, e *Entry) bool {
+	if e.saidLeaving {
+		return false
+	}
+	e.saidLeaving = true
+	if e.leavingSince.IsZero() {
+		e.leavingSince = now
+	}
+	return true
+}
+
+// Leaving reports whether e leaves, by its registration or by its own answers.
+func (e *Entry) Leaving() bool { return e.Draining || e.saidLeaving }
+
+// LeavingSince returns when this instance learned that e leaves, or the zero time.
+func (e *Entry) LeavingSince() time.Time { return e.leavingSince }
+
 // Evacuate replaces the set of evacuated zones, whose upstreams are sent no requests.
 // The upstreams of a zone that is no longer evacuated count as cold.
 func (t *Table) Evacuate(now time.Time, zones map[fleet.ZoneID]bool) {
@@ -270,9 +302,9 @@
 // Service returns the entries of a service.
 func (t *Table) Service(id fleet.ServiceID) []*Entry { return t.byService[id] }
 
-// Usable reports whether e may be sent new requests: it is not nil, not draining and
-// not in an evacuated zone.
-func (t *Table) Usable(e *Entry) bool { return e != nil && !e.Draining && !t.evacuated[e.Zone] }
+// Usable reports whether e may be sent new requests: it is not nil, not leaving and not
+// in an evacuated zone.
+func (t *Table) Usable(e *Entry) bool { return e != nil && !e.Leaving() && !t.evacuated[e.Zone] }
 
 // Evacuated reports whether zone is evacuated.
 func (t *Table) Evacuated(zone fleet.ZoneID) bool { return t.evacuated[zone] }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -101,6 +101,83 @@
 	}
 }
 
+// Guards against requests to an upstream that has said that it leaves and is listed as
+// ready, and against avoiding its next run.
+func TestSaidLeaving(t *testing.T) {
+	for name, c := range map[string]struct {
+		lists   func(t *Table, ready []Registration) // applied after the answer
+		leaving bool
+	}{
+		"no list":                   {func(*Table, []Registration) {}, true},
+		"late list":                 {func(tb *Table, ready []Registration) { tb.Replace(start, ready) }, true},
+		"late list, kept draining":  {func(tb *Table, ready []Registration) { tb.Replace(start, tb.KeepDraining(ready)) }, true},
+		"same run listed once more": {func(tb *Table, ready []Registration) { tb.Replace(start, ready[1:]); tb.Replace(start, ready) }, true},
+		"evacuation and back": {func(tb *Table, _ []Registration) {
+			tb.Evacuate(start, map[fleet.ZoneID]bool{"a": true})
+			tb.Evacuate(start, nil)
+		}, true},
+		"new boot": {func(tb *Table, ready []Registration) {
+			ready[0].Boot = "2"
+			tb.Replace(start, tb.KeepDraining(ready))
+		}, false},
+		"new address": {func(tb *Table, ready []Registration) {
+			ready[0].Addr = "10.0.0.9:1"
+			tb.Replace(start, tb.KeepDraining(ready))
+		}, false},
+		"new address after a list": {func(tb *Table, ready []Registration) {
+			tb.Replace(start, tb.KeepDraining(ready))
+			ready[0].Addr = "10.0.0.9:1"
+			tb.Replace(start, tb.KeepDraining(ready))
+		}, false},
+		"new boot after a gap": {func(tb *Table, ready []Registration) {
+			tb.Replace(start, ready[1:])
+			ready[0].Boot = "2"
+			tb.Replace(start, ready)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable("i", 2)
+			e := table.Get("u0")
+			table.Started(start, e)
+			if !table.SaidLeaving(start, e) || table.SaidLeaving(start.Add(time.Second), e) || !e.LeavingSince().Equal(start) {
+				t.Error("the first answer does not count, or a later one counts as the first")
+			}
+			c.lists(table, registrations(2))
+			now := start.Add(10 * time.Second) // the next run is warm
+			e = table.Get("u0")
+			chosen := false
+			for range 50 {
+				got, _ := table.Choose(now, query)
+				chosen = chosen || got == e
+			}
+			if e.Leaving() != c.leaving || table.Usable(e) == c.leaving || chosen == c.leaving {
+				t.Errorf("leaving %t, usable %t, chosen %t; want leaving %t", e.Leaving(), table.Usable(e), chosen, c.leaving)
+			}
+		})
+	}
+}
+
+// Guards against an answer of an earlier run that makes the present one count as leaving,
+// and against keeping an upstream that left while its registration was missing.
+func TestSaidLeavingBindsOneRun(t *testing.T) {
+	table := newTable("i", 2)
+	old := table.Get("u0")
+	list := registrations(2)
+	list[0].Boot = "2"
+	table.Replace(start, list)
+	table.SaidLeaving(start, old)
+	if table.Get("u0").Leaving() {
+		t.Error("an answer of the earlier run binds the next one")
+	}
+	table.SaidLeaving(start, table.Get("u1"))
+	if got := table.KeepMissing(nil); len(got) != 1 || got[0].ID != "u0" {
+		t.Errorf("kept %v, want u0 only", got)
+	}
+	if got := table.States(start)[lookup][StateLeaving]; got != 1 {
+		t.Errorf("%d upstreams are leaving, want 1", got)
+	}
+}
+
 // Guards against slow and failing upstreams that are sent as many requests as others.
 func TestChoosePrefersFastUpstreams(t *testing.T) {
 	table := newTable("i", 3)
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -37,7 +37,7 @@
 
 func (t *Table) state(now time.Time, e *Entry) State {
 	switch {
-	case e.Draining:
+	case e.Leaving():
 		return StateLeaving
 	case t.evacuated[e.Zone]:
 		return StateEvacuated
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -167,8 +167,15 @@
 
 // HolderClient sends grants and releases of keys to upstreams.
 type HolderClient interface {
-	// Call carries out c. handover is set only by a release that succeeded.
-	Call(ctx context.Context, addr string, c keyspace.Call) (r keyspace.Result, handover string, err error)
+	// Call carries out c.
+	Call(ctx context.Context, addr string, c keyspace.Call) (HolderResponse, error)
+}
+
+// HolderResponse is the result of a call to an upstream that grants or releases keys.
+type HolderResponse struct {
+	Result   keyspace.Result
+	Handover string // set only by a release that succeeded
+	Leaving  bool   // the upstream says that it leaves
 }
 
 // RequestMetadata holds the metadata of a caller's request, besides its method, path
@@ -195,6 +202,7 @@
 	ID        fleet.RequestID
 	NotRun    bool          // the upstream states that it did not run the request
 	NotHolder bool          // the upstream is not the addressed one, or does not hold the key
+	Leaving   bool          // the upstream says that it leaves
 	Load      *balance.Load // nil if the upstream did not report any
 }
 
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -347,16 +347,6 @@
 	if r.leaderList.update(now, list) {
 		r.wakeReports()
 	}
-	for _, c := range changes {
-		switch c.Kind {
-		case "draining", "gone":
-			if _, seen := r.leavingSince[c.ID]; !seen {
-				r.leavingSince[c.ID] = now
-			}
-		case "new", "restarted":
-			delete(r.leavingSince, c.ID)
-		}
-	}
 	r.mu.Unlock()
 	for _, c := range changes {
 		r.log.Info("upstream registration changed", "upstream", c.ID, "change", c.Kind)
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -21,8 +21,9 @@
 	// is not hedged.
 	minHedgeShare = 0.3
 	// drainingHolderUse is how long the holder of a key still receives requests after
-	// this instance saw it draining. Requests must stop within 2 s of its announcement,
-	// of which the list of upstreams takes up to listInterval.
+	// this instance saw it draining, or received an answer that says so. Requests must
+	// stop within 2 s of its announcement, of which the list of upstreams takes up to
+	// listInterval.
 	drainingHolderUse = 900 * time.Millisecond
 	// evacuatedHolderUse is the same for a holder in an evacuated zone, where requests
 	// may continue for 5 s.
@@ -64,7 +65,14 @@
 		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
-		return mayAnswer(r.platform.Protocol.ParseResponse(res.Status, res.Header).ID, x.info.ID, res.FirstOnConn)
+		metadata := r.platform.Protocol.ParseResponse(res.Status, res.Header)
+		if !mayAnswer(metadata.ID, x.info.ID, res.FirstOnConn) {
+			return false
+		}
+		if metadata.Leaving { // holds even if the rest of the response is lost
+			r.noteLeaving(time.Now(), upstream, x.info.ID, "answer")
+		}
+		return true
 	})
 	now := time.Now()
 	if a.err == nil {
@@ -85,6 +93,18 @@
 	return a
 }
 
+// noteLeaving records that an upstream has said that it leaves. source is the kind of the
+// answer, and id the request that it answers, if any. Unlike the list of upstreams, such
+// an answer needs neither the store nor the leader.
+func (r *Router) noteLeaving(now time.Time, upstream *balance.Entry, id fleet.RequestID, source string) {
+	r.mu.Lock()
+	changed, run := r.upstreams.SaidLeaving(now, upstream), upstream.Registration
+	r.mu.Unlock()
+	if changed {
+		r.log.Info("upstream said that it leaves", "upstream", run.ID, "boot", run.Boot, "request", id, "source", source)
+	}
+}
+
 // mayAnswer reports whether a response with an id may answer the request with the id
 // requestID. Upstreams echo the id of a request. A response without one is accepted on a
 // new connection; on a kept one it may belong to an earlier request, which an upstream
@@ -375,7 +395,7 @@
 	if upstream == nil {
 		return nil, "holder-gone"
 	}
-	if since, leaving := r.leavingSince[id]; leaving && upstream.Draining && now.Sub(since) > drainingHolderUse {
+	if upstream.Leaving() && now.Sub(upstream.LeavingSince()) > drainingHolderUse {
 		return nil, "holder-leaves"
 	}
 	if since, evacuated := r.evacuatedSince[upstream.Zone]; evacuated && now.Sub(since) > evacuatedHolderUse {
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -400,9 +400,12 @@
 				timeout = releaseTimeout
 			}
 			callCtx, cancel := context.WithTimeout(ctx, timeout)
-			var err error
-			res.result, res.handover, err = r.platform.Holders.Call(callCtx, addr, c)
+			answer, err := r.platform.Holders.Call(callCtx, addr, c)
 			cancel()
+			res.result, res.handover = answer.Result, answer.Handover
+			if answer.Leaving {
+				r.noteLeaving(time.Now(), upstream, "", "grant-call")
+			}
 			r.logCall(c, res, err)
 		}
 		select {
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -71,9 +71,8 @@
 	homeFailedAt     map[fleet.InstanceID]time.Time   // last failure of homes to answer
 	retryBudgets     map[fleet.ServiceID]*balance.RetryBudget
 	instances        []fleet.Peer
-	leavingSince     map[fleet.UpstreamID]time.Time // when this instance saw an upstream leave
-	evacuatedSince   map[fleet.ZoneID]time.Time     // when this instance saw a zone being evacuated
-	holderMapUpdated chan struct{}                  // closed when holderMap changes
+	evacuatedSince   map[fleet.ZoneID]time.Time // when this instance saw a zone being evacuated
+	holderMapUpdated chan struct{}              // closed when holderMap changes
 
 	// Age of this state.
 	listedAt            time.Time // when the current list of upstreams was requested from the store
@@ -121,7 +120,7 @@
 		quota: quota.New(now, quota.Config(cfg.Quota)), fallbackQuota: quota.New(now, quota.Config(cfg.Quota)),
 		homeQuota: quota.NewHome(quota.Config(cfg.Quota)), homesByAccount: make(map[fleet.AccountID][]fleet.Peer), homeFailedAt: make(map[fleet.InstanceID]time.Time),
 		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}),
-		requestedKeys: make(map[fleet.ServiceID][]keyspace.Key), leavingSince: make(map[fleet.UpstreamID]time.Time),
+		requestedKeys:  make(map[fleet.ServiceID][]keyspace.Key),
 		evacuatedSince: make(map[fleet.ZoneID]time.Time), evacuationEndedAt: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
 		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 	}
--- a/internal/standin/front/upstream.go
+++ b/internal/standin/front/upstream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,6 +41,7 @@
 	requests    []*http.Request
 	coldLeft    time.Duration
 	slots       chan struct{}
+	header      http.Header // of all answers
 }
 
 // grant is the exclusive ownership of a range of keys, both ends included, until it
@@ -75,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	u.addr, u.grants, u.seq, u.running, u.waiting = ln.Addr().String(), nil, 0, 0, 0
+	u.addr, u.grants, u.seq, u.running, u.waiting, u.header = ln.Addr().String(), nil, 0, 0, 0, nil
 	u.startUnixMs = time.Now().UnixMilli()
 	u.slots = make(chan struct{}, u.cfg.Slots)
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: 5 * time.Second}
@@ -100,6 +102,14 @@
 	u.cfg.Handler = f
 }
 
+// SetHeader sets headers that all later answers have, those to grants and releases and
+// refusals included. Restart removes them.
+func (u *Upstream) SetHeader(h http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.header = h
+}
+
 // Addr returns the address that the upstream listens on, "IP:port".
 func (u *Upstream) Addr() string {
 	u.mu.Lock()
@@ -153,6 +163,9 @@
 
 // ServeHTTP handles grants and releases of keys, and client requests.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u.mu.Lock()
+	maps.Copy(w.Header(), u.header)
+	u.mu.Unlock()
 	if r.URL.Path == "/api/grant" || r.URL.Path == "/api/release" {
 		u.serveKeyOrder(w, r)
 		return
