direct: the leader learns at once of a key holder that says it leaves

Callers would see: refusals with holder-leaves 0.9 s after a holder's answers have said that it leaves, for as long as the list of upstreams calls it ready. Cause: an instance kept this knowledge to itself; the leader, which moves keys, relied on the list and on its own requests. Change: a follower sends an extra report with the run as soon as it hears, and to each new leader; the leader answers it without holding it, marks the run and plans at once. chooseHolder keeps sending to the holder for drainingHolderUse (0.9 s), well within the 2 s that bind, so that keys are served until they move.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -261,6 +261,34 @@
 	return e, kind
 }
 
+// Run identifies one run of an upstream.
+type Run struct {
+	ID   fleet.UpstreamID
+	Boot fleet.BootID
+	Addr string
+}
+
+// RunsLeaving returns the runs of which SaidLeaving was called.
+func (t *Table) RunsLeaving() []Run {
+	var list []Run
+	for _, e := range t.entries {
+		if e.saidLeaving {
+			list = append(list, e.run())
+		}
+	}
+	return list
+}
+
+// GetRun returns the entry of a run, or nil if the run is unknown.
+func (t *Table) GetRun(run Run) *Entry {
+	if e := t.entries[run.ID]; e != nil && e.run() == run {
+		return e
+	}
+	return nil
+}
+
+func (e *Entry) run() Run { return Run{ID: e.ID, Boot: e.Boot, Addr: e.Addr} }
+
 // SaidLeaving records that an answer of the run e has said that it leaves. It holds for
 // this run until its registration is gone, whatever later lists say. It reports whether
 // this is the first such answer.
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -99,6 +99,10 @@
 func (r *Router) noteLeaving(now time.Time, upstream *balance.Entry, id fleet.RequestID, source string) {
 	r.mu.Lock()
 	changed, run := r.upstreams.SaidLeaving(now, upstream), upstream.Registration
+	if changed {
+		close(r.leavingSaid)
+		r.leavingSaid = make(chan struct{})
+	}
 	r.mu.Unlock()
 	if changed {
 		r.log.Info("upstream said that it leaves", "upstream", run.ID, "boot", run.Boot, "request", id, "source", source)
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -76,6 +76,40 @@
 	return err
 }
 
+// encodeRuns encodes runs of upstreams that leave, as lists of ID, boot and address.
+func encodeRuns(e *jx.Encoder, runs []balance.Run) {
+	e.FieldStart("leaving")
+	e.ArrStart()
+	for _, run := range runs {
+		e.ArrStart()
+		e.Str(string(run.ID))
+		e.Str(string(run.Boot))
+		e.Str(run.Addr)
+		e.ArrEnd()
+	}
+	e.ArrEnd()
+}
+
+func decodeRuns(d *jx.Decoder) ([]balance.Run, error) {
+	var runs []balance.Run
+	err := d.Arr(func(d *jx.Decoder) error {
+		var values []string
+		if err := d.Arr(func(d *jx.Decoder) error {
+			s, err := d.Str()
+			values = append(values, s)
+			return err
+		}); err != nil {
+			return err
+		}
+		if len(values) != 3 {
+			return errors.Errorf("leaving upstream: want ID, boot and address, not %d values", len(values))
+		}
+		runs = append(runs, balance.Run{ID: fleet.UpstreamID(values[0]), Boot: fleet.BootID(values[1]), Addr: values[2]})
+		return nil
+	})
+	return runs, err
+}
+
 func (r report) encode() []byte {
 	var e jx.Encoder
 	e.ObjStart()
@@ -110,6 +144,9 @@
 		e.ArrEnd()
 	}
 	e.ObjEnd()
+	if len(r.Leaving) > 0 {
+		encodeRuns(&e, r.Leaving)
+	}
 	e.FieldStart("keys")
 	e.ObjStart()
 	for id, keys := range r.Keys {
@@ -157,6 +194,8 @@
 			r.OperatorTag, err = d.Str()
 		case "demand":
 			r.Demand, err = decodeDemand(d)
+		case "leaving":
+			r.Leaving, err = decodeRuns(d)
 		case "speeds":
 			r.ServiceTimes, err = decodeServiceTimes(d)
 		case "keys":
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -76,6 +77,7 @@
 	ListSeq       uint64                               // version of this list
 	OperatorSeq   uint64                               // last version of the operator state received from this leader
 	OperatorTag   string                               // tag of the sender's operator state
+	Leaving       []balance.Run                        // that have said so to the sender; the leader answers such a report at once
 }
 
 // reply is the leader's answer to a report.
@@ -103,7 +105,8 @@
 func (r *Router) collectReport(now time.Time) report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rep := report{Instance: r.cfg.Instance, Addr: r.cfg.PeerListen, Keys: r.requestedKeys, StoreAge: r.storeAge(now)}
+	rep := r.emptyReport(now)
+	rep.Keys = r.requestedKeys
 	r.requestedKeys = make(map[fleet.ServiceID][]keyspace.Key)
 	if now.Sub(r.demandReportedAt) >= time.Duration(demandIntervalShare*float64(longPollWait(len(r.instances)))) {
 		rep.Demand, r.demandReportedAt = r.quota.Demand(now), now
@@ -113,18 +116,77 @@
 	rep.ServiceTimes = r.upstreams.TakeSamples(func(id fleet.ServiceID) bool {
 		return op != nil && op.Table != nil && op.Table.Services[id].Sharded
 	})
-	rep.InstancesHash = fingerprint(r.instances)
-	rep.ListTerm, rep.ListSeq = r.listReplica.term, r.listReplica.seq
-	rep.OperatorSeq, rep.OperatorTag = r.operatorSeqReceived, op.Tag()
+	return rep
+}
+
+// emptyReport returns a report that states only what this instance has. The caller must
+// hold mu.
+func (r *Router) emptyReport(now time.Time) report {
+	rep := report{
+		Instance: r.cfg.Instance, Addr: r.cfg.PeerListen, StoreAge: r.storeAge(now), InstancesHash: fingerprint(r.instances),
+		ListTerm: r.listReplica.term, ListSeq: r.listReplica.seq, OperatorSeq: r.operatorSeqReceived, OperatorTag: r.operatorState.Load().Tag(),
+	}
 	if m := r.holderMap.Load(); m != nil {
 		rep.MapVersion = m.Version
 	}
 	return rep
 }
 
+// reportLeaving tells the leader of each upstream that has said that it leaves, as soon
+// as it does: the regular report may wait at the leader. Each leader is told anew.
+func (r *Router) reportLeaving(ctx context.Context) {
+	told := make(map[balance.Run]bool)
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		said, info, rep := r.leavingSaid, r.leader, r.emptyReport(time.Now())
+		runs := r.upstreams.RunsLeaving()
+		r.mu.Unlock()
+		maps.DeleteFunc(told, func(run balance.Run, _ bool) bool { return !slices.Contains(runs, run) })
+		for _, run := range runs {
+			if !told[run] {
+				rep.Leaving = append(rep.Leaving, run)
+			}
+		}
+		if len(rep.Leaving) > 0 {
+			if err := r.sendLeaving(ctx, info.addr, rep); err != nil {
+				r.log.Debug("reporting leaving upstreams failed", "leader", info.id, "error", err)
+				sleep(ctx, storeRetryDelay)
+				continue
+			}
+			for _, run := range rep.Leaving {
+				told[run] = true
+			}
+		}
+		select {
+		case <-said:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// sendLeaving sends a report of leaving upstreams. The reply is not applied, since it may
+// overtake that to the regular report.
+func (r *Router) sendLeaving(ctx context.Context, addr string, rep report) error {
+	ctx, cancel := context.WithTimeout(ctx, replyTimeoutMargin)
+	defer cancel()
+	res, err := r.peers.Do(ctx, addr, &http1.Request{Method: http.MethodPost, Target: reportPath, Body: rep.encode()}, nil)
+	if err != nil {
+		return err
+	}
+	if res.Status != http.StatusOK {
+		return errors.Errorf("report of leaving upstreams: status %d", res.Status)
+	}
+	return nil
+}
+
 // follow sends reports to the leader until it stops answering or does not lead any
 // longer.
 func (r *Router) follow(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { r.reportLeaving(ctx) })
+	defer wg.Wait()
+	defer cancel()
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		info := r.leader
@@ -290,7 +352,7 @@
 	case l.reports <- rep:
 	case <-l.stop:
 	}
-	if !r.hasUpdate(l, rep) {
+	if len(rep.Leaving) == 0 && !r.hasUpdate(l, rep) {
 		t := time.NewTimer(r.currentLongPollWait())
 		select {
 		case <-changed:
@@ -372,6 +434,7 @@
 			h.Add(k)
 		}
 	}
+	r.learnLeaving(now, l, rep)
 	r.mu.Lock()
 	if rep.Instance != r.cfg.Instance {
 		for id, s := range rep.ServiceTimes {
@@ -384,6 +447,20 @@
 	r.mu.Unlock()
 }
 
+// learnLeaving records the leaving upstreams of a report, and lets the next step of the
+// leader move their keys.
+func (r *Router) learnLeaving(now time.Time, l *leadership, rep report) {
+	for _, run := range rep.Leaving {
+		r.mu.Lock()
+		upstream := r.upstreams.GetRun(run)
+		r.mu.Unlock()
+		if upstream != nil {
+			r.noteLeaving(now, upstream, "", "report of "+string(rep.Instance))
+			l.planDue = now
+		}
+	}
+}
+
 // minDemandShare is the share of the instances that must have reported their demand to
 // a new leader before it sends the sum.
 const minDemandShare = 0.9
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -23,6 +23,7 @@
 		Demand:       map[fleet.AccountID]float64{"a": 12.5},
 		ServiceTimes: map[fleet.UpstreamID]balance.Samples{"u": {Unqueued: 2, UnqueuedSeconds: 0.25, Queued: 3, Lost: 1}},
 		StoreAge:     1200 * time.Millisecond, InstancesHash: 10, ListTerm: 3, ListSeq: 7, OperatorSeq: 2, OperatorTag: "5 [z]",
+		Leaving: []balance.Run{{ID: "u", Boot: "1", Addr: "1.2.3.4:5"}},
 	}
 	got, err := decodeReport(rep.encode())
 	if diff := cmp.Diff(rep, got); err != nil || diff != "" {
@@ -31,6 +32,9 @@
 	if _, err := decodeReport([]byte(`{"instance":""}`)); err == nil {
 		t.Error("a report without an instance ID was accepted")
 	}
+	if _, err := decodeReport([]byte(`{"instance":"i1","leaving":[["u","1"]]}`)); err == nil {
+		t.Error("a report with a leaving upstream without an address was accepted")
+	}
 	rp := reply{
 		Term: 3, MapVersion: keyspace.MapVersion{Term: 3, Seq: 10}, WholeMap: true,
 		MapSpans: map[fleet.ServiceID][]keyspace.HeldSpan{"s": {
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -96,8 +96,9 @@
 	// demandReportedAt is the time of that report.
 	demandReportedAt    time.Time
 	listReplica         listReplica
-	listFromStore       bool   // the list of upstreams was read from the store, not received from the leader
-	operatorSeqReceived uint64 // last version of the operator state received from the leader
+	listFromStore       bool          // the list of upstreams was read from the store, not received from the leader
+	operatorSeqReceived uint64        // last version of the operator state received from the leader
+	leavingSaid         chan struct{} // closed when an upstream has said that it leaves
 
 	// Data for replies, if this instance leads.
 	leadership  *leadership   // nil unless this instance leads
@@ -119,7 +120,7 @@
 		leaderList: newLeaderList(), update: make(chan struct{}), recentMaps: make(map[keyspace.MapVersion]*keyspace.Map),
 		quota: quota.New(now, quota.Config(cfg.Quota)), fallbackQuota: quota.New(now, quota.Config(cfg.Quota)),
 		homeQuota: quota.NewHome(quota.Config(cfg.Quota)), homesByAccount: make(map[fleet.AccountID][]fleet.Peer), homeFailedAt: make(map[fleet.InstanceID]time.Time),
-		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}),
+		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}), leavingSaid: make(chan struct{}),
 		requestedKeys:  make(map[fleet.ServiceID][]keyspace.Key),
 		evacuatedSince: make(map[fleet.ZoneID]time.Time), evacuationEndedAt: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
 		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
