direct, balance: no requests to an upstream that has asked for a pause

Cause: nothing read Retry-After of an upstream; it was only passed on. Until its end Choose and chooseHolder skip that upstream, so that no request, retry or hedge goes there; grants and releases still do. Later answers extend it and never shorten it; each counts for at most 30 s (balance.MaxPause). If all usable upstreams pause, a request waits for the first one that resumes before its deadline, or is refused at once with upstreams-paused; for the holder of a key the wait is bounded as before (holder-paused). The Retry-After of these refusals is the time that is left plus a random part of up to a quarter of it, at least 100 ms.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -90,6 +90,7 @@
 	Registration
 	InFlight        int       // requests of this instance
 	leavingSince    time.Time // when this instance learned that the upstream leaves; zero if it does not
+	pausedUntil     time.Time // the upstream wants no requests before
 	saidLeaving     bool      // an answer of this run has said that it leaves
 	coldUntil       time.Time
 	nextColdRequest time.Time // earliest time of the next request while cold
@@ -130,6 +131,7 @@
 	at           time.Time
 	saidLeaving  bool
 	leavingSince time.Time
+	pausedUntil  time.Time
 }
 
 // departureMemory is the time for which departures are remembered, longer than
@@ -172,7 +174,7 @@
 	for id, e := range t.entries {
 		if entries[id] == nil {
 			changes = append(changes, Change{ID: id, Kind: "gone"})
-			t.departed[id] = departure{boot: e.Boot, addr: e.Addr, at: now, saidLeaving: e.saidLeaving, leavingSince: e.leavingSince}
+			t.departed[id] = departure{boot: e.Boot, addr: e.Addr, at: now, saidLeaving: e.saidLeaving, leavingSince: e.leavingSince, pausedUntil: e.pausedUntil}
 		}
 	}
 	maps.DeleteFunc(t.departed, func(_ fleet.UpstreamID, d departure) bool { return now.Sub(d.at) > departureMemory })
@@ -243,8 +245,11 @@
 	switch {
 	case !known:
 		e, kind = &Entry{lastLearned: now}, "new"
-		if d := t.departed[r.ID]; d.saidLeaving && d.boot == r.Boot && d.addr == r.Addr {
-			e.saidLeaving, e.leavingSince = true, d.leavingSince
+		if d := t.departed[r.ID]; d.boot == r.Boot && d.addr == r.Addr {
+			e.pausedUntil = d.pausedUntil
+			if d.saidLeaving {
+				e.saidLeaving, e.leavingSince = true, d.leavingSince
+			}
 		}
 	case e.Boot != r.Boot || e.Addr != r.Addr:
 		e, kind = &Entry{lastLearned: now}, "restarted"
@@ -261,6 +266,46 @@
 	return e, kind
 }
 
+// Pause is a time in which an upstream wants no requests from this instance.
+type Pause struct {
+	Asked   bool
+	For     time.Duration // from the answer; valid if Asked
+	Invalid bool          // a value could not be read, or several differed
+}
+
+// MaxPause bounds the effect of one answer. A longer pause would keep a faulty upstream
+// out of use for longer than it takes to replace it.
+const MaxPause = 30 * time.Second
+
+// Pause records that e wants no requests for d, at most MaxPause. It does not shorten a
+// pause, and ends with the run. It reports whether e did not pause before.
+func (t *Table) Pause(now time.Time, e *Entry, d time.Duration) bool {
+	began := !now.Before(e.pausedUntil)
+	if until := now.Add(min(d, MaxPause)); until.After(e.pausedUntil) {
+		e.pausedUntil = until
+	}
+	return began && now.Before(e.pausedUntil)
+}
+
+// PausedUntil returns the end of the last pause of e.
+func (e *Entry) PausedUntil() time.Time { return e.pausedUntil }
+
+// FirstResume returns when the first upstream of a service wants requests again, if all
+// that are usable pause. It returns false if one does not, or if none is usable.
+func (t *Table) FirstResume(now time.Time, id fleet.ServiceID) (time.Time, bool) {
+	var first time.Time
+	for _, e := range t.byService[id] {
+		switch {
+		case !t.Usable(e) || now.Before(e.ejectedUntil):
+		case !now.Before(e.pausedUntil):
+			return time.Time{}, false
+		case first.IsZero() || e.pausedUntil.Before(first):
+			first = e.pausedUntil
+		}
+	}
+	return first, !first.IsZero()
+}
+
 // Run identifies one run of an upstream.
 type Run struct {
 	ID   fleet.UpstreamID
@@ -406,6 +451,10 @@
 			reason = "upstreams-unreachable"
 			continue
 		}
+		if now.Before(e.pausedUntil) {
+			reason = "upstreams-paused"
+			continue
+		}
 		cost := t.cost(now, e, q)
 		if best != nil && cost >= bestCost {
 			continue
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -178,6 +178,58 @@
 	}
 }
 
+// Guards against requests to an upstream that has asked for a pause, against a pause that
+// is shortened or outlasts its run, and against one without a bound.
+func TestPause(t *testing.T) {
+	table := newTable("i", 2)
+	e := table.Get("u0")
+	chosen := func(now time.Time) bool {
+		for range 50 {
+			if got, _ := table.Choose(now, query); got == e {
+				return true
+			}
+		}
+		return false
+	}
+	if !table.Pause(start, e, 2*time.Second) || table.Pause(start, e, time.Second) {
+		t.Error("the first pause does not begin, or a shorter one begins another")
+	}
+	if chosen(start.Add(1900*time.Millisecond)) || !chosen(start.Add(2*time.Second)) {
+		t.Error("the pause is shortened by a later answer, or does not end")
+	}
+	if table.Pause(start.Add(time.Second), e, 3*time.Second) || chosen(start.Add(3900*time.Millisecond)) {
+		t.Error("a later answer does not extend the pause, or begins another")
+	}
+	table.Replace(start, registrations(2)[1:])
+	table.Replace(start, registrations(2))
+	if e = table.Get("u0"); chosen(start.Add(3 * time.Second)) {
+		t.Error("the pause ends because the run is not listed for a moment")
+	}
+	if _, all := table.FirstResume(start, lookup); all {
+		t.Error("all upstreams pause, want one that does not")
+	}
+	table.Pause(start, table.Get("u1"), 24*time.Hour)
+	resumes, all := table.FirstResume(start, lookup)
+	if want := start.Add(4 * time.Second); !all || !resumes.Equal(want) {
+		t.Errorf("first resumes at %v (%t), want %v", resumes, all, want)
+	}
+	if got, reason := table.Choose(start, query); got != nil || reason != "upstreams-paused" {
+		t.Errorf("chose %v, reason %q", got, reason)
+	}
+	if got := table.States(start)[lookup][StatePaused]; got != 2 {
+		t.Errorf("%d upstreams pause, want 2", got)
+	}
+	if until := table.Get("u1").PausedUntil(); !until.Equal(start.Add(MaxPause)) {
+		t.Errorf("the longest pause ends after %v, want %v", until.Sub(start), MaxPause)
+	}
+	list := registrations(2)
+	list[0].Boot = "2"
+	table.Replace(start, list)
+	if e = table.Get("u0"); !chosen(start.Add(time.Second)) {
+		t.Error("the pause of a run binds the next one")
+	}
+}
+
 // Guards against slow and failing upstreams that are sent as many requests as others.
 func TestChoosePrefersFastUpstreams(t *testing.T) {
 	table := newTable("i", 3)
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -14,6 +14,7 @@
 	StateLeaving     State = "leaving"
 	StateEvacuated   State = "evacuated"
 	StateUnreachable State = "unreachable"
+	StatePaused      State = "paused" // wants no requests for some time
 	StateCold        State = "cold"
 	StateUsable      State = "usable"
 )
@@ -24,7 +25,7 @@
 	out := make(map[fleet.ServiceID]map[State]int, len(t.byService))
 	for id, entries := range t.byService {
 		counts := make(map[State]int)
-		for _, s := range []State{StateLeaving, StateEvacuated, StateUnreachable, StateCold, StateUsable} {
+		for _, s := range []State{StateLeaving, StateEvacuated, StateUnreachable, StatePaused, StateCold, StateUsable} {
 			counts[s] = 0
 		}
 		for _, e := range entries {
@@ -43,6 +44,8 @@
 		return StateEvacuated
 	case now.Before(e.ejectedUntil):
 		return StateUnreachable
+	case now.Before(e.pausedUntil):
+		return StatePaused
 	case e.Cold(now):
 		return StateCold
 	}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -176,6 +176,7 @@
 	Result   keyspace.Result
 	Handover string // set only by a release that succeeded
 	Leaving  bool   // the upstream says that it leaves
+	Pause    balance.Pause
 }
 
 // RequestMetadata holds the metadata of a caller's request, besides its method, path
@@ -203,6 +204,7 @@
 	NotRun    bool          // the upstream states that it did not run the request
 	NotHolder bool          // the upstream is not the addressed one, or does not hold the key
 	Leaving   bool          // the upstream says that it leaves
+	Pause     balance.Pause // in which the upstream wants no requests from this instance
 	Load      *balance.Load // nil if the upstream did not report any
 }
 
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -28,6 +28,10 @@
 	// evacuatedHolderUse is the same for a holder in an evacuated zone, where requests
 	// may continue for 5 s.
 	evacuatedHolderUse = 2500 * time.Millisecond
+	// resumeSpread is the time over which the requests are spread that wait for the end of
+	// a pause of their upstreams, and the shortest spread of the retry delays of refused
+	// ones.
+	resumeSpread = 100 * time.Millisecond
 	// unreachableRetryDelay is the delay before a key's holder that could not be
 	// reached is tried again.
 	unreachableRetryDelay = 100 * time.Millisecond
@@ -72,6 +76,7 @@
 		if metadata.Leaving { // holds even if the rest of the response is lost
 			r.noteLeaving(time.Now(), upstream, x.info.ID, "answer")
 		}
+		r.notePause(time.Now(), upstream, metadata.Pause, x.info.ID, "answer")
 		return true
 	})
 	now := time.Now()
@@ -109,6 +114,32 @@
 	}
 }
 
+// notePause records that an upstream wants no requests for some time. source is the kind
+// of the answer that says so, and id the request that it answers, if any.
+func (r *Router) notePause(now time.Time, upstream *balance.Entry, p balance.Pause, id fleet.RequestID, source string) {
+	if !p.Asked && !p.Invalid {
+		return
+	}
+	r.mu.Lock()
+	began := p.Asked && r.upstreams.Pause(now, upstream, p.For)
+	run, until := upstream.Registration, upstream.PausedUntil()
+	invalid := p.Invalid || p.For > balance.MaxPause
+	logInvalid := invalid && now.Sub(r.invalidPauseLoggedAt) >= invalidLogInterval
+	if logInvalid {
+		r.invalidPauseLoggedAt = now
+	}
+	r.mu.Unlock()
+	if invalid {
+		r.metrics.invalidPauses.Inc()
+	}
+	if logInvalid {
+		r.log.Warn("invalid pause of an upstream", "upstream", run.ID, "boot", run.Boot, "request", id, "source", source, "asked", p.For.String())
+	}
+	if began {
+		r.log.Info("upstream paused", "upstream", run.ID, "boot", run.Boot, "request", id, "source", source, "for-ms", until.Sub(now).Milliseconds())
+	}
+}
+
 // mayAnswer reports whether a response with an id may answer the request with the id
 // requestID. Upstreams echo the id of a request. A response without one is accepted on a
 // new connection; on a kept one it may belong to an earlier request, which an upstream
@@ -210,8 +241,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f := &fanOut{r: r, x: x, results: make(chan attempt, x.route.MaxAttempts+2), tried: make(map[fleet.UpstreamID]bool)}
-	if reason, ok := f.launch(ctx); !ok {
-		return refuse(http.StatusServiceUnavailable, reason, retryAfterNotReady)
+	if out, ok := f.launchFirst(ctx); !ok {
+		return out
 	}
 	hedge := time.NewTimer(r.hedgeDelay(x))
 	defer hedge.Stop()
@@ -258,6 +289,54 @@
 	return "", true
 }
 
+// launchFirst starts the first attempt. If all upstreams pause, it waits for the first one
+// that wants requests again, or refuses at once if that is after the deadline.
+func (f *fanOut) launchFirst(ctx context.Context) (outcome, bool) {
+	for {
+		reason, ok := f.launch(ctx)
+		if ok {
+			return outcome{}, true
+		}
+		now := time.Now()
+		f.r.mu.Lock()
+		resumes, paused := f.r.upstreams.FirstResume(now, f.x.service.ID)
+		spread := time.Duration(f.r.rng.Float64() * float64(resumeSpread))
+		f.r.mu.Unlock()
+		switch {
+		case !paused:
+			return refuse(http.StatusServiceUnavailable, reason, retryAfterNotReady), false
+		case resumes.Add(resumeSpread).After(f.x.deadline):
+			return f.r.refusePaused(now, "upstreams-paused", resumes), false
+		}
+		sleep(ctx, resumes.Add(spread).Sub(now))
+		if ctx.Err() != nil {
+			return refuse(http.StatusGatewayTimeout, "timeout", 0), false
+		}
+	}
+}
+
+// refuseFull returns the refusal of a request that no upstream has accepted.
+func (f *fanOut) refuseFull(now time.Time) outcome {
+	f.r.mu.Lock()
+	resumes, paused := f.r.upstreams.FirstResume(now, f.x.service.ID)
+	f.r.mu.Unlock()
+	if paused {
+		return f.r.refusePaused(now, "upstreams-paused", resumes)
+	}
+	return refuse(http.StatusServiceUnavailable, "upstreams-full", retryAfterFull)
+}
+
+// refusePaused refuses a request because no upstream that may serve it wants requests
+// before the time resumes. The retry delays are spread, so that callers do not return
+// all at once.
+func (r *Router) refusePaused(now time.Time, reason string, resumes time.Time) outcome {
+	left := max(resumes.Sub(now), 0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	spread := max(resumeSpread, left/4)
+	return refuse(http.StatusServiceUnavailable, reason, left+time.Duration(r.rng.Float64()*float64(spread)))
+}
+
 // handleResult processes the end of an attempt. It returns the final outcome and true,
 // or false if other attempts are running or a new one was started.
 func (f *fanOut) handleResult(ctx context.Context, a attempt) (outcome, bool) {
@@ -270,7 +349,7 @@
 		}
 		retry := x.arrivals == 0 || f.r.takeRetry(now, x)
 		if f.running == 0 && (!retry || !f.relaunch(ctx)) {
-			return f.finalFailure(ctx, refuse(http.StatusServiceUnavailable, "upstreams-full", retryAfterFull)), true
+			return f.finalFailure(ctx, f.refuseFull(now)), true
 		}
 		return outcome{}, false
 	}
@@ -322,8 +401,12 @@
 	}
 	for {
 		changed := r.holderMapChanged()
-		upstream, reason := r.chooseHolder(time.Now(), x)
+		now := time.Now()
+		upstream, reason, resumes := r.chooseHolder(now, x)
 		if upstream == nil {
+			if latestWait := x.receivedAt.Add(time.Duration(holderWaitShare * float64(x.route.Target))); resumes.After(latestWait) || resumes.After(x.deadline) {
+				return r.refusePaused(now, "holder-paused", resumes)
+			}
 			if out, ok := r.awaitHolder(ctx, x, changed, reason, holderWaitShare); !ok {
 				return out
 			}
@@ -364,6 +447,9 @@
 		}
 		retry = true
 		sleep(ctx, lostRetryDelay*time.Duration(x.arrivals))
+	case a.metadata.Pause.Asked:
+		// The next call of chooseHolder waits for the end of the pause, or refuses.
+		retry = x.arrivals <= x.route.MaxAttempts && r.takeRetry(time.Now(), x)
 	case a.metadata.NotHolder:
 		if out, ok := r.awaitHolder(ctx, x, changed, "holder-moved", movedWaitShare); !ok {
 			return out, true
@@ -383,33 +469,37 @@
 }
 
 // chooseHolder returns the upstream that holds the key of x if it may receive the
-// request now, else the reason why not.
-func (r *Router) chooseHolder(now time.Time, x *exchange) (*balance.Entry, string) {
+// request now, else the reason why not. If the holder pauses, it returns the end of the
+// pause too.
+func (r *Router) chooseHolder(now time.Time, x *exchange) (*balance.Entry, string, time.Time) {
 	holderMap := r.holderMap.Load()
 	if holderMap == nil {
-		return nil, "no-map"
+		return nil, "no-map", time.Time{}
 	}
 	id := holderMap.Holder(x.service.ID, x.info.RoutingKey)
 	if id == "" {
-		return nil, "key-moves"
+		return nil, "key-moves", time.Time{}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	upstream := r.upstreams.Get(id)
 	if upstream == nil {
-		return nil, "holder-gone"
+		return nil, "holder-gone", time.Time{}
 	}
 	if upstream.Leaving() && now.Sub(upstream.LeavingSince()) > drainingHolderUse {
-		return nil, "holder-leaves"
+		return nil, "holder-leaves", time.Time{}
 	}
 	if since, evacuated := r.evacuatedSince[upstream.Zone]; evacuated && now.Sub(since) > evacuatedHolderUse {
-		return nil, "holder-evacuated"
+		return nil, "holder-evacuated", time.Time{}
+	}
+	if resumes := upstream.PausedUntil(); now.Before(resumes) {
+		return nil, "holder-paused", resumes
 	}
 	if !r.upstreams.AdmitCold(now, upstream) {
-		return nil, "holder-cold"
+		return nil, "holder-cold", time.Time{}
 	}
 	r.upstreams.Started(now, upstream)
-	return upstream, ""
+	return upstream, "", time.Time{}
 }
 
 // awaitHolder waits for a change of the holder map or for holderPollInterval, as long
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -406,6 +406,7 @@
 			if answer.Leaving {
 				r.noteLeaving(time.Now(), upstream, "", "grant-call")
 			}
+			r.notePause(time.Now(), upstream, answer.Pause, "", "grant-call")
 			r.logCall(c, res, err)
 		}
 		select {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -24,6 +24,7 @@
 	closedConns     *prometheus.CounterVec   // by cause
 	droppedLogLines prometheus.Counter
 	invalidEntries  *prometheus.CounterVec // by kind
+	invalidPauses   prometheus.Counter
 
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
 	refreshGauges        func(now time.Time)
@@ -68,6 +69,9 @@
 	m.invalidEntries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "parsleyproxy_direct_invalid_entries_total", Help: "Entries in the store that were ignored because they are invalid, counted at each read.",
 	}, []string{"kind"})
+	m.invalidPauses = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "parsleyproxy_direct_invalid_pauses_total", Help: "Answers of upstreams that ask for a pause that cannot be read, is ambiguous or too long.",
+	})
 	m.knowledgeAge = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_knowledge_age_seconds", Help: "Time since what the instance knows was known to be true.",
 	}, []string{"of"})
@@ -84,7 +88,7 @@
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries)
+	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries, m.invalidPauses)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.storeEra, m.upstreams)
 	return m
 }
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -87,7 +87,8 @@
 	// evacuationsHeldUntil is when the evacuations in a restored store are up to date again.
 	evacuationsHeldUntil time.Time
 
-	invalidLoggedAt map[entryKind]time.Time // last log lines about invalid entries in the store
+	invalidLoggedAt      map[entryKind]time.Time // last log lines about invalid entries in the store
+	invalidPauseLoggedAt time.Time               // last log line about an invalid pause
 
 	// Data for reports to the leader, and from its replies.
 	leader         leaderInfo
