--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,7 +7,8 @@
 // and returns the one with the lowest.
 //
 // Invariants:
-//   - an upstream that is draining, gone or in an evacuated zone is sent no requests
+//   - an upstream that is leaving, gone or in an evacuated zone is sent no requests; one
+//     that has said in an answer that it leaves does so until it ends, whatever is listed
 //   - the request rate to a cold upstream from all instances together stays within its
 //     limit; each instance computes its share of the limit without communication
 package balance
@@ -87,7 +88,10 @@
 // Entry is an upstream with the state that this instance has observed.
 type Entry struct {
 	Registration
-	InFlight        int // requests of this instance
+	InFlight        int       // requests of this instance
+	leavingSince    time.Time // when this instance learned that the upstream leaves; zero if it does not
+	pausedUntil     time.Time // the upstream wants no requests before
+	saidLeaving     bool      // an answer of this run has said that it leaves
 	coldUntil       time.Time
 	nextColdRequest time.Time // earliest time of the next request while cold
 
@@ -123,8 +127,12 @@
 // departure is the run of an upstream whose registration has disappeared, or was replaced
 // by that of another run.
 type departure struct {
-	boot fleet.BootID
-	at   time.Time
+	boot         fleet.BootID
+	addr         string
+	at           time.Time
+	saidLeaving  bool
+	leavingSince time.Time
+	pausedUntil  time.Time
 }
 
 // departureMemory is the time for which departures are remembered, longer than
@@ -172,7 +180,7 @@
 	for id, e := range t.entries {
 		if entries[id] == nil {
 			changes = append(changes, Change{ID: id, Kind: "gone"})
-			t.departed[id] = departure{boot: e.Boot, at: now}
+			t.departed[id] = departure{boot: e.Boot, addr: e.Addr, at: now, saidLeaving: e.saidLeaving, leavingSince: e.leavingSince, pausedUntil: e.pausedUntil}
 		}
 	}
 	maps.DeleteFunc(t.departed, func(_ fleet.UpstreamID, d departure) bool { return now.Sub(d.at) > departureMemory })
@@ -199,14 +207,14 @@
 }
 
 // KeepMissing returns list with the known upstreams that it lacks, except those that
-// were draining.
+// leave.
 func (t *Table) KeepMissing(list []Registration) []Registration {
 	listed := make(map[fleet.UpstreamID]bool, len(list))
 	for _, r := range list {
 		listed[r.ID] = true
 	}
 	for id, e := range t.entries {
-		if !listed[id] && !e.Draining {
+		if !listed[id] && !e.Leaving() {
 			r := e.Registration
 			r.ColdLeft = 0 // already part of coldUntil
 			list = append(list, r)
@@ -216,12 +224,12 @@
 }
 
 // KeepDraining returns list with those upstreams marked as draining whose runs are known
-// to drain: they do not return, but a store that was restored from a copy may list their
-// earlier registrations.
+// to leave: they do not return, but their registrations may be late, or from a store that
+// was restored from a copy.
 func (t *Table) KeepDraining(list []Registration) []Registration {
 	list = slices.Clone(list)
 	for i, r := range list {
-		if e := t.entries[r.ID]; e != nil && e.Boot == r.Boot && e.Draining {
+		if e := t.entries[r.ID]; e != nil && e.Boot == r.Boot && e.Addr == r.Addr && e.Leaving() {
 			list[i].Draining = true
 		}
 	}
@@ -243,6 +251,12 @@
 	switch {
 	case !known:
 		e, kind = &Entry{lastLearned: now}, "new"
+		if d := t.departed[r.ID]; d.boot == r.Boot && d.addr == r.Addr {
+			e.pausedUntil = d.pausedUntil
+			if d.saidLeaving {
+				e.saidLeaving, e.leavingSince = true, d.leavingSince
+			}
+		}
 	case e.Boot != r.Boot || e.Addr != r.Addr:
 		e, kind = &Entry{lastLearned: now}, "restarted"
 	case !e.Draining && r.Draining:
@@ -252,9 +266,100 @@
 		e.coldUntil = until
 	}
 	e.Registration = r
+	if r.Draining && e.leavingSince.IsZero() {
+		e.leavingSince = now
+	}
 	return e, kind
 }
 
+// Pause is a time in which an upstream wants no requests from this instance.
+type Pause struct {
+	Asked   bool
+	For     time.Duration // from the answer; valid if Asked
+	Invalid bool          // a value could not be read, or several differed
+}
+
+// MaxPause bounds the effect of one answer. A longer pause would keep a faulty upstream
+// out of use for longer than it takes to replace it.
+const MaxPause = 30 * time.Second
+
+// Pause records that e wants no requests for d, at most MaxPause. It does not shorten a
+// pause, and ends with the run. It reports whether e did not pause before.
+func (t *Table) Pause(now time.Time, e *Entry, d time.Duration) bool {
+	began := !now.Before(e.pausedUntil)
+	if until := now.Add(min(d, MaxPause)); until.After(e.pausedUntil) {
+		e.pausedUntil = until
+	}
+	return began && now.Before(e.pausedUntil)
+}
+
+// PausedUntil returns the end of the last pause of e.
+func (e *Entry) PausedUntil() time.Time { return e.pausedUntil }
+
+// FirstResume returns when the first upstream of a service wants requests again, if all
+// that are usable pause. It returns false if one does not, or if none is usable.
+func (t *Table) FirstResume(now time.Time, id fleet.ServiceID) (time.Time, bool) {
+	var first time.Time
+	for _, e := range t.byService[id] {
+		switch {
+		case !t.Usable(e) || now.Before(e.ejectedUntil):
+		case !now.Before(e.pausedUntil):
+			return time.Time{}, false
+		case first.IsZero() || e.pausedUntil.Before(first):
+			first = e.pausedUntil
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// Run identifies one run of an upstream.
+type Run struct {
+	ID   fleet.UpstreamID
+	Boot fleet.BootID
+	Addr string
+}
+
+// RunsLeaving returns the runs of which SaidLeaving was called.
+func (t *Table) RunsLeaving() []Run {
+	var list []Run
+	for _, e := range t.entries {
+		if e.saidLeaving {
+			list = append(list, e.run())
+		}
+	}
+	return list
+}
+
+// GetRun returns the entry of a run, or nil if the run is unknown.
+func (t *Table) GetRun(run Run) *Entry {
+	if e := t.entries[run.ID]; e != nil && e.run() == run {
+		return e
+	}
+	return nil
+}
+
+func (e *Entry) run() Run { return Run{ID: e.ID, Boot: e.Boot, Addr: e.Addr} }
+
+// SaidLeaving records that an answer of the run e has said that it leaves. It holds for
+// this run until its registration is gone, whatever later lists say. It reports whether
+// this is the first such answer.
+func (t *Table) SaidLeaving(now time.Time, e *Entry) bool {
+	if e.saidLeaving {
+		return false
+	}
+	e.saidLeaving = true
+	if e.leavingSince.IsZero() {
+		e.leavingSince = now
+	}
+	return true
+}
+
+// Leaving reports whether e leaves, by its registration or by its own answers.
+func (e *Entry) Leaving() bool { return e.Draining || e.saidLeaving }
+
+// LeavingSince returns when this instance learned that e leaves, or the zero time.
+func (e *Entry) LeavingSince() time.Time { return e.leavingSince }
+
 // Evacuate replaces the set of evacuated zones, whose upstreams are sent no requests.
 // The upstreams of a zone that is no longer evacuated count as cold.
 func (t *Table) Evacuate(now time.Time, zones map[fleet.ZoneID]bool) {
@@ -276,9 +381,9 @@
 // Service returns the entries of a service.
 func (t *Table) Service(id fleet.ServiceID) []*Entry { return t.byService[id] }
 
-// Usable reports whether e may be sent new requests: it is not nil, not draining and
-// not in an evacuated zone.
-func (t *Table) Usable(e *Entry) bool { return e != nil && !e.Draining && !t.evacuated[e.Zone] }
+// Usable reports whether e may be sent new requests: it is not nil, not leaving and not
+// in an evacuated zone.
+func (t *Table) Usable(e *Entry) bool { return e != nil && !e.Leaving() && !t.evacuated[e.Zone] }
 
 // Evacuated reports whether zone is evacuated.
 func (t *Table) Evacuated(zone fleet.ZoneID) bool { return t.evacuated[zone] }
@@ -352,6 +457,10 @@
 			reason = "upstreams-unreachable"
 			continue
 		}
+		if now.Before(e.pausedUntil) {
+			reason = "upstreams-paused"
+			continue
+		}
 		cost := t.cost(now, e, q)
 		if best != nil && cost >= bestCost {
 			continue
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -21,12 +21,17 @@
 	// is not hedged.
 	minHedgeShare = 0.3
 	// drainingHolderUse is how long the holder of a key still receives requests after
-	// this instance saw it draining. Requests must stop within 2 s of its announcement,
-	// of which the list of upstreams takes up to listInterval.
+	// this instance saw it draining, or received an answer that says so. Requests must
+	// stop within 2 s of its announcement, of which the list of upstreams takes up to
+	// listInterval.
 	drainingHolderUse = 900 * time.Millisecond
 	// evacuatedHolderUse is the same for a holder in an evacuated zone, where requests
 	// may continue for 5 s.
 	evacuatedHolderUse = 2500 * time.Millisecond
+	// resumeSpread is the time over which the requests are spread that wait for the end of
+	// a pause of their upstreams, and the shortest spread of the retry delays of refused
+	// ones.
+	resumeSpread = 100 * time.Millisecond
 	// unreachableRetryDelay is the delay before a key's holder that could not be
 	// reached is tried again.
 	unreachableRetryDelay = 100 * time.Millisecond
@@ -64,7 +69,15 @@
 		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
-		return mayAnswer(r.platform.Protocol.ParseResponse(res.Status, res.Header).ID, x.info.ID, res.FirstOnConn)
+		metadata := r.platform.Protocol.ParseResponse(res.Status, res.Header)
+		if !mayAnswer(metadata.ID, x.info.ID, res.FirstOnConn) {
+			return false
+		}
+		if metadata.Leaving { // holds even if the rest of the response is lost
+			r.noteLeaving(time.Now(), upstream, x.info.ID, "answer")
+		}
+		r.notePause(time.Now(), upstream, metadata.Pause, x.info.ID, "answer")
+		return true
 	})
 	now := time.Now()
 	if a.err == nil {
@@ -85,6 +98,48 @@
 	return a
 }
 
+// noteLeaving records that an upstream has said that it leaves. source is the kind of the
+// answer, and id the request that it answers, if any. Unlike the list of upstreams, such
+// an answer needs neither the store nor the leader.
+func (r *Router) noteLeaving(now time.Time, upstream *balance.Entry, id fleet.RequestID, source string) {
+	r.mu.Lock()
+	changed, run := r.upstreams.SaidLeaving(now, upstream), upstream.Registration
+	if changed {
+		close(r.leavingSaid)
+		r.leavingSaid = make(chan struct{})
+	}
+	r.mu.Unlock()
+	if changed {
+		r.log.Info("upstream said that it leaves", "upstream", run.ID, "boot", run.Boot, "request", id, "source", source)
+	}
+}
+
+// notePause records that an upstream wants no requests for some time. source is the kind
+// of the answer that says so, and id the request that it answers, if any.
+func (r *Router) notePause(now time.Time, upstream *balance.Entry, p balance.Pause, id fleet.RequestID, source string) {
+	if !p.Asked && !p.Invalid {
+		return
+	}
+	r.mu.Lock()
+	began := p.Asked && r.upstreams.Pause(now, upstream, p.For)
+	run, until := upstream.Registration, upstream.PausedUntil()
+	invalid := p.Invalid || p.For > balance.MaxPause
+	logInvalid := invalid && now.Sub(r.invalidPauseLoggedAt) >= invalidLogInterval
+	if logInvalid {
+		r.invalidPauseLoggedAt = now
+	}
+	r.mu.Unlock()
+	if invalid {
+		r.metrics.invalidPauses.Inc()
+	}
+	if logInvalid {
+		r.log.Warn("invalid pause of an upstream", "upstream", run.ID, "boot", run.Boot, "request", id, "source", source, "asked", p.For.String())
+	}
+	if began {
+		r.log.Info("upstream paused", "upstream", run.ID, "boot", run.Boot, "request", id, "source", source, "for-ms", until.Sub(now).Milliseconds())
+	}
+}
+
 // mayAnswer reports whether a response with an id may answer the request with the id
 // requestID. Upstreams echo the id of a request. A response without one is accepted on a
 // new connection; on a kept one it may belong to an earlier request, which an upstream
@@ -186,8 +241,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f := &fanOut{r: r, x: x, results: make(chan attempt, x.route.MaxAttempts+2), tried: make(map[fleet.UpstreamID]bool)}
-	if reason, ok := f.launch(ctx); !ok {
-		return refuse(http.StatusServiceUnavailable, reason, retryAfterNotReady)
+	if out, ok := f.launchFirst(ctx); !ok {
+		return out
 	}
 	hedge := time.NewTimer(r.hedgeDelay(x))
 	defer hedge.Stop()
@@ -234,6 +289,54 @@
 	return "", true
 }
 
+// launchFirst starts the first attempt. If all upstreams pause, it waits for the first one
+// that wants requests again, or refuses at once if that is after the deadline.
+func (f *fanOut) launchFirst(ctx context.Context) (outcome, bool) {
+	for {
+		reason, ok := f.launch(ctx)
+		if ok {
+			return outcome{}, true
+		}
+		now := time.Now()
+		f.r.mu.Lock()
+		resumes, paused := f.r.upstreams.FirstResume(now, f.x.service.ID)
+		spread := time.Duration(f.r.rng.Float64() * float64(resumeSpread))
+		f.r.mu.Unlock()
+		switch {
+		case !paused:
+			return refuse(http.StatusServiceUnavailable, reason, retryAfterNotReady), false
+		case resumes.Add(resumeSpread).After(f.x.deadline):
+			return f.r.refusePaused(now, "upstreams-paused", resumes), false
+		}
+		sleep(ctx, resumes.Add(spread).Sub(now))
+		if ctx.Err() != nil {
+			return refuse(http.StatusGatewayTimeout, "timeout", 0), false
+		}
+	}
+}
+
+// refuseFull returns the refusal of a request that no upstream has accepted.
+func (f *fanOut) refuseFull(now time.Time) outcome {
+	f.r.mu.Lock()
+	resumes, paused := f.r.upstreams.FirstResume(now, f.x.service.ID)
+	f.r.mu.Unlock()
+	if paused {
+		return f.r.refusePaused(now, "upstreams-paused", resumes)
+	}
+	return refuse(http.StatusServiceUnavailable, "upstreams-full", retryAfterFull)
+}
+
+// refusePaused refuses a request because no upstream that may serve it wants requests
+// before the time resumes. The retry delays are spread, so that callers do not return
+// all at once.
+func (r *Router) refusePaused(now time.Time, reason string, resumes time.Time) outcome {
+	left := max(resumes.Sub(now), 0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	spread := max(resumeSpread, left/4)
+	return refuse(http.StatusServiceUnavailable, reason, left+time.Duration(r.rng.Float64()*float64(spread)))
+}
+
 // handleResult processes the end of an attempt. It returns the final outcome and true,
 // or false if other attempts are running or a new one was started.
 func (f *fanOut) handleResult(ctx context.Context, a attempt) (outcome, bool) {
@@ -246,7 +349,7 @@
 		}
 		retry := x.arrivals == 0 || f.r.takeRetry(now, x)
 		if f.running == 0 && (!retry || !f.relaunch(ctx)) {
-			return f.finalFailure(ctx, refuse(http.StatusServiceUnavailable, "upstreams-full", retryAfterFull)), true
+			return f.finalFailure(ctx, f.refuseFull(now)), true
 		}
 		return outcome{}, false
 	}
@@ -298,8 +401,12 @@
 	}
 	for {
 		changed := r.holderMapChanged()
-		upstream, reason := r.chooseHolder(time.Now(), x)
+		now := time.Now()
+		upstream, reason, resumes := r.chooseHolder(now, x)
 		if upstream == nil {
+			if latestWait := x.receivedAt.Add(time.Duration(holderWaitShare * float64(x.route.Target))); resumes.After(latestWait) || resumes.After(x.deadline) {
+				return r.refusePaused(now, "holder-paused", resumes)
+			}
 			if out, ok := r.awaitHolder(ctx, x, changed, reason, holderWaitShare); !ok {
 				return out
 			}
@@ -340,6 +447,9 @@
 		}
 		retry = true
 		sleep(ctx, lostRetryDelay*time.Duration(x.arrivals))
+	case a.metadata.Pause.Asked:
+		// The next call of chooseHolder waits for the end of the pause, or refuses.
+		retry = x.arrivals <= x.route.MaxAttempts && r.takeRetry(time.Now(), x)
 	case a.metadata.NotHolder:
 		if out, ok := r.awaitHolder(ctx, x, changed, "holder-moved", movedWaitShare); !ok {
 			return out, true
@@ -359,33 +469,37 @@
 }
 
 // chooseHolder returns the upstream that holds the key of x if it may receive the
-// request now, else the reason why not.
-func (r *Router) chooseHolder(now time.Time, x *exchange) (*balance.Entry, string) {
+// request now, else the reason why not. If the holder pauses, it returns the end of the
+// pause too.
+func (r *Router) chooseHolder(now time.Time, x *exchange) (*balance.Entry, string, time.Time) {
 	holderMap := r.holderMap.Load()
 	if holderMap == nil {
-		return nil, "no-map"
+		return nil, "no-map", time.Time{}
 	}
 	id := holderMap.Holder(x.service.ID, x.info.RoutingKey)
 	if id == "" {
-		return nil, "key-moves"
+		return nil, "key-moves", time.Time{}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	upstream := r.upstreams.Get(id)
 	if upstream == nil {
-		return nil, "holder-gone"
+		return nil, "holder-gone", time.Time{}
 	}
-	if since, leaving := r.leavingSince[id]; leaving && upstream.Draining && now.Sub(since) > drainingHolderUse {
-		return nil, "holder-leaves"
+	if upstream.Leaving() && now.Sub(upstream.LeavingSince()) > drainingHolderUse {
+		return nil, "holder-leaves", time.Time{}
 	}
 	if since, evacuated := r.evacuatedSince[upstream.Zone]; evacuated && now.Sub(since) > evacuatedHolderUse {
-		return nil, "holder-evacuated"
+		return nil, "holder-evacuated", time.Time{}
+	}
+	if resumes := upstream.PausedUntil(); now.Before(resumes) {
+		return nil, "holder-paused", resumes
 	}
 	if !r.upstreams.AdmitCold(now, upstream) {
-		return nil, "holder-cold"
+		return nil, "holder-cold", time.Time{}
 	}
 	r.upstreams.Started(now, upstream)
-	return upstream, ""
+	return upstream, "", time.Time{}
 }
 
 // awaitHolder waits for a change of the holder map or for holderPollInterval, as long
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -71,9 +71,8 @@
 	homeFailedAt     map[fleet.InstanceID]time.Time   // last failure of homes to answer
 	retryBudgets     map[fleet.ServiceID]*balance.RetryBudget
 	instances        []fleet.Peer
-	leavingSince     map[fleet.UpstreamID]time.Time // when this instance saw an upstream leave
-	evacuatedSince   map[fleet.ZoneID]time.Time     // when this instance saw a zone being evacuated
-	holderMapUpdated chan struct{}                  // closed when holderMap changes
+	evacuatedSince   map[fleet.ZoneID]time.Time // when this instance saw a zone being evacuated
+	holderMapUpdated chan struct{}              // closed when holderMap changes
 
 	// Age of this state.
 	listedAt            time.Time // when the current list of upstreams was requested from the store
@@ -91,7 +90,8 @@
 	// evacuationsHeldUntil is when the evacuations in a restored store are up to date again.
 	evacuationsHeldUntil time.Time
 
-	invalidLoggedAt map[entryKind]time.Time // last log lines about invalid entries in the store
+	invalidLoggedAt      map[entryKind]time.Time // last log lines about invalid entries in the store
+	invalidPauseLoggedAt time.Time               // last log line about an invalid pause
 
 	// Data for reports to the leader, and from its replies.
 	leader         leaderInfo
@@ -100,9 +100,10 @@
 	// demandReportedAt is the time of that report.
 	demandReportedAt    time.Time
 	listReplica         listReplica
-	listFromStore       bool   // the list of upstreams was read from the store, not received from the leader
-	operatorSeqReceived uint64 // last version of the operator state received from the leader
-	leaderRestorations  uint64 // in the leader's last reply
+	listFromStore       bool          // the list of upstreams was read from the store, not received from the leader
+	operatorSeqReceived uint64        // last version of the operator state received from the leader
+	leaderRestorations  uint64        // in the leader's last reply
+	leavingSaid         chan struct{} // closed when an upstream has said that it leaves
 
 	// Data for replies, if this instance leads.
 	leadership  *leadership   // nil unless this instance leads
@@ -124,8 +125,8 @@
 		leaderList: newLeaderList(), update: make(chan struct{}), recentMaps: make(map[keyspace.MapVersion]*keyspace.Map),
 		quota: quota.New(now, quota.Config(cfg.Quota)), fallbackQuota: quota.New(now, quota.Config(cfg.Quota)),
 		homeQuota: quota.NewHome(quota.Config(cfg.Quota)), homesByAccount: make(map[fleet.AccountID][]fleet.Peer), homeFailedAt: make(map[fleet.InstanceID]time.Time),
-		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}),
-		requestedKeys: make(map[fleet.ServiceID][]keyspace.Key), leavingSince: make(map[fleet.UpstreamID]time.Time),
+		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}), leavingSaid: make(chan struct{}),
+		requestedKeys:  make(map[fleet.ServiceID][]keyspace.Key),
 		evacuatedSince: make(map[fleet.ZoneID]time.Time), evacuationEndedAt: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
 		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 	}
