balance: a run that registers again keeps its pause and its word that it leaves

Change: the memory is removed after the registration; a run that another one replaced is remembered with its state too. Measured with it: go test ./internal/balance and ./internal/direct pass.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -135,6 +135,10 @@
 	pausedUntil  time.Time
 }
 
+func (e *Entry) departure(now time.Time) departure {
+	return departure{boot: e.Boot, addr: e.Addr, at: now, saidLeaving: e.saidLeaving, leavingSince: e.leavingSince, pausedUntil: e.pausedUntil}
+}
+
 // departureMemory is the time for which departures are remembered, longer than
 // registrations of upstreams that have left may be listed again.
 const departureMemory = time.Minute
@@ -165,12 +169,12 @@
 	limits := slotLimits(list)
 	for _, r := range list {
 		r.Slots = min(r.Slots, limits[r.Service])
+		e, kind := t.register(now, r)
 		if old := t.entries[r.ID]; old != nil && old.Boot != r.Boot {
-			t.departed[r.ID] = departure{boot: old.Boot, at: now}
+			t.departed[r.ID] = old.departure(now)
 		} else if t.departed[r.ID].boot == r.Boot {
 			delete(t.departed, r.ID) // the run has registered again
 		}
-		e, kind := t.register(now, r)
 		if kind != "" {
 			changes = append(changes, Change{ID: r.ID, Kind: kind})
 		}
@@ -180,7 +184,7 @@
 	for id, e := range t.entries {
 		if entries[id] == nil {
 			changes = append(changes, Change{ID: id, Kind: "gone"})
-			t.departed[id] = departure{boot: e.Boot, addr: e.Addr, at: now, saidLeaving: e.saidLeaving, leavingSince: e.leavingSince, pausedUntil: e.pausedUntil}
+			t.departed[id] = e.departure(now)
 		}
 	}
 	maps.DeleteFunc(t.departed, func(_ fleet.UpstreamID, d departure) bool { return now.Sub(d.at) > departureMemory })
