--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -278,13 +278,19 @@
 const MaxPause = 30 * time.Second
 
 // Pause records that e wants no requests for d, at most MaxPause. It does not shorten a
-// pause, and ends with the run. It reports whether e did not pause before.
-func (t *Table) Pause(now time.Time, e *Entry, d time.Duration) bool {
-	began := !now.Before(e.pausedUntil)
-	if until := now.Add(min(d, MaxPause)); until.After(e.pausedUntil) {
-		e.pausedUntil = until
+// pause, and ends with the run. It returns the time that it adds, and whether e did not
+// pause before.
+func (t *Table) Pause(now time.Time, e *Entry, d time.Duration) (added time.Duration, began bool) {
+	from := now
+	if now.Before(e.pausedUntil) {
+		from = e.pausedUntil
 	}
-	return began && now.Before(e.pausedUntil)
+	until := now.Add(min(d, MaxPause))
+	if !until.After(from) {
+		return 0, false
+	}
+	e.pausedUntil = until
+	return until.Sub(from), from.Equal(now)
 }
 
 // PausedUntil returns the end of the last pause of e.
@@ -313,6 +319,21 @@
 	Addr string
 }
 
+// LeavingByAnswer returns the number of upstreams of each service of which SaidLeaving
+// was called, including zeros.
+func (t *Table) LeavingByAnswer() map[fleet.ServiceID]int {
+	out := make(map[fleet.ServiceID]int, len(t.byService))
+	for id, entries := range t.byService {
+		out[id] = 0
+		for _, e := range entries {
+			if e.saidLeaving {
+				out[id]++
+			}
+		}
+	}
+	return out
+}
+
 // RunsLeaving returns the runs of which SaidLeaving was called.
 func (t *Table) RunsLeaving() []Run {
 	var list []Run
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -173,8 +173,8 @@
 	if got := table.KeepMissing(nil); len(got) != 1 || got[0].ID != "u0" {
 		t.Errorf("kept %v, want u0 only", got)
 	}
-	if got := table.States(start)[lookup][StateLeaving]; got != 1 {
-		t.Errorf("%d upstreams are leaving, want 1", got)
+	if got, all := table.LeavingByAnswer()[lookup], table.States(start)[lookup][StateLeaving]; got != 1 || all != 1 {
+		t.Errorf("%d upstreams are leaving, %d of them by their answers; want 1, 1", all, got)
 	}
 }
 
@@ -191,14 +191,21 @@
 		}
 		return false
 	}
-	if !table.Pause(start, e, 2*time.Second) || table.Pause(start, e, time.Second) {
-		t.Error("the first pause does not begin, or a shorter one begins another")
+	pause := func(after time.Duration, e *Entry, d, wantAdded time.Duration, wantBegan bool) {
+		t.Helper()
+		if added, began := table.Pause(start.Add(after), e, d); added != wantAdded || began != wantBegan {
+			t.Errorf("a pause of %v after %v adds %v and begins: %t; want %v, %t", d, after, added, began, wantAdded, wantBegan)
+		}
 	}
+	pause(0, e, 0, 0, false)
+	pause(0, e, 2*time.Second, 2*time.Second, true)
+	pause(0, e, time.Second, 0, false)
 	if chosen(start.Add(1900*time.Millisecond)) || !chosen(start.Add(2*time.Second)) {
 		t.Error("the pause is shortened by a later answer, or does not end")
 	}
-	if table.Pause(start.Add(time.Second), e, 3*time.Second) || chosen(start.Add(3900*time.Millisecond)) {
-		t.Error("a later answer does not extend the pause, or begins another")
+	pause(time.Second, e, 3*time.Second, 2*time.Second, false)
+	if chosen(start.Add(3900 * time.Millisecond)) {
+		t.Error("a later answer does not extend the pause")
 	}
 	table.Replace(start, registrations(2)[1:])
 	table.Replace(start, registrations(2))
@@ -208,7 +215,7 @@
 	if _, all := table.FirstResume(start, lookup); all {
 		t.Error("all upstreams pause, want one that does not")
 	}
-	table.Pause(start, table.Get("u1"), 24*time.Hour)
+	pause(0, table.Get("u1"), 24*time.Hour, MaxPause, true)
 	resumes, all := table.FirstResume(start, lookup)
 	if want := start.Add(4 * time.Second); !all || !resumes.Equal(want) {
 		t.Errorf("first resumes at %v (%t), want %v", resumes, all, want)
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -121,7 +121,11 @@
 		return
 	}
 	r.mu.Lock()
-	began := p.Asked && r.upstreams.Pause(now, upstream, p.For)
+	var added time.Duration
+	began := false
+	if p.Asked {
+		added, began = r.upstreams.Pause(now, upstream, p.For)
+	}
 	run, until := upstream.Registration, upstream.PausedUntil()
 	invalid := p.Invalid || p.For > balance.MaxPause
 	logInvalid := invalid && now.Sub(r.invalidPauseLoggedAt) >= invalidLogInterval
@@ -129,6 +133,7 @@
 		r.invalidPauseLoggedAt = now
 	}
 	r.mu.Unlock()
+	r.metrics.pauseSeconds.WithLabelValues(serviceLabel(run.Service)).Add(added.Seconds())
 	if invalid {
 		r.metrics.invalidPauses.Inc()
 	}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -25,6 +25,7 @@
 	droppedLogLines prometheus.Counter
 	invalidEntries  *prometheus.CounterVec // by kind
 	invalidPauses   prometheus.Counter
+	pauseSeconds    *prometheus.CounterVec // by service
 
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
 	refreshGauges        func(now time.Time)
@@ -34,6 +35,7 @@
 	configurationVersion prometheus.Gauge
 	storeEra             prometheus.Gauge
 	upstreams            *prometheus.GaugeVec // by service, state
+	leavingByAnswer      *prometheus.GaugeVec // by service
 }
 
 // durationBuckets are the upper bounds of the duration histogram, in seconds. They are
@@ -72,6 +74,12 @@
 	m.invalidPauses = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "parsleyproxy_direct_invalid_pauses_total", Help: "Answers of upstreams that ask for a pause that cannot be read, is ambiguous or too long.",
 	})
+	m.pauseSeconds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyproxy_direct_pause_seconds_total", Help: "Time for which upstreams have asked for no requests, added up when they ask.",
+	}, []string{"service"})
+	m.leavingByAnswer = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "parsleyproxy_direct_upstreams_leaving_by_answer", Help: "Upstreams whose answers say that they leave.",
+	}, []string{"service"})
 	m.knowledgeAge = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_knowledge_age_seconds", Help: "Time since what the instance knows was known to be true.",
 	}, []string{"of"})
@@ -88,8 +96,8 @@
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries, m.invalidPauses)
-	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.storeEra, m.upstreams)
+	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.pauseSeconds)
+	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.storeEra, m.upstreams, m.leavingByAnswer)
 	return m
 }
 
@@ -130,6 +138,10 @@
 	}
 	m.storeEra.Set(float64(max(r.listEra, r.leader.term.Era())))
 	m.upstreams.Reset()
+	m.leavingByAnswer.Reset()
+	for service, n := range r.upstreams.LeavingByAnswer() {
+		m.leavingByAnswer.WithLabelValues(serviceLabel(service)).Set(float64(n))
+	}
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
 			m.upstreams.WithLabelValues(serviceLabel(service), string(state)).Set(float64(n))
--- a/internal/direct/metrics_test.go
+++ b/internal/direct/metrics_test.go
@@ -30,11 +30,18 @@
 	r.setOperatorState(now, OperatorState{Table: routes.NewTable(7, nil, nil, nil, nil)})
 	r.setInstances(peersNamed(3))
 	r.setUpstreams(now, now.Add(-time.Minute), []balance.Registration{
-		{ID: "a", Service: "s", Draining: true}, {ID: "b", Service: "s", ColdLeft: time.Hour}, {ID: "c", Service: "s"},
+		{ID: "a", Service: "s", Draining: true},
+		{ID: "b", Service: "s", ColdLeft: time.Hour},
+		{ID: "c", Service: "s"},
+		{ID: "d", Service: "s"},
+		{ID: "e", Service: "s", ColdLeft: time.Hour},
 	})
+	r.noteLeaving(now, r.upstreams.Get("b"), "r1", "answer")
+	r.notePause(now, r.upstreams.Get("c"), balance.Pause{Asked: true, For: time.Hour}, "r2", "answer")
 	for _, want := range []string{
 		`configuration_version 7`, `instances 3`, `leading 0`, `knowledge_age_seconds{of="upstreams"} 60`,
-		`upstreams{service="s",state="cold"} 1`, `upstreams{service="s",state="leaving"} 1`, `upstreams{service="s",state="usable"} 1`,
+		`upstreams{service="s",state="cold"} 1`, `upstreams{service="s",state="leaving"} 2`, `upstreams{service="s",state="usable"} 1`,
+		`upstreams{service="s",state="paused"} 1`, `upstreams_leaving_by_answer{service="s"} 1`, `pause_seconds_total{service="s"} 30`, `invalid_pauses_total 1`,
 	} {
 		if diff := cmp.Diff(1, len(exported(regexp.QuoteMeta(want)))); diff != "" {
 			t.Errorf("number of lines with %s: %s", want, diff)
