--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -124,25 +124,6 @@
 	coldLimits func(fleet.ServiceID) (time.Duration, fleet.PerSecond)
 }
 
-// departure is the run of an upstream whose registration has disappeared, or was replaced
-// by that of another run.
-type departure struct {
-	boot         fleet.BootID
-	addr         string
-	at           time.Time
-	saidLeaving  bool
-	leavingSince time.Time
-	pausedUntil  time.Time
-}
-
-func (e *Entry) departure(now time.Time) departure {
-	return departure{boot: e.Boot, addr: e.Addr, at: now, saidLeaving: e.saidLeaving, leavingSince: e.leavingSince, pausedUntil: e.pausedUntil}
-}
-
-// departureMemory is the time for which departures are remembered, longer than
-// registrations of upstreams that have left may be listed again.
-const departureMemory = time.Minute
-
 // New returns an empty table of instance self. coldLimits returns how long an upstream
 // of a service is cold after its start, and the request rate that it can serve then.
 func New(self fleet.InstanceID, rng *rand.Rand, coldLimits func(fleet.ServiceID) (time.Duration, fleet.PerSecond)) *Table {
@@ -210,45 +191,6 @@
 	return limits
 }
 
-// KeepMissing returns list with the known upstreams that it lacks, except those that
-// leave.
-func (t *Table) KeepMissing(list []Registration) []Registration {
-	listed := make(map[fleet.UpstreamID]bool, len(list))
-	for _, r := range list {
-		listed[r.ID] = true
-	}
-	for id, e := range t.entries {
-		if !listed[id] && !e.Leaving() {
-			r := e.Registration
-			r.ColdLeft = 0 // already part of coldUntil
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
-// KeepDraining returns list with those upstreams marked as draining whose runs are known
-// to leave: they do not return, but their registrations may be late, or from a store that
-// was restored from a copy.
-func (t *Table) KeepDraining(list []Registration) []Registration {
-	list = slices.Clone(list)
-	for i, r := range list {
-		if e := t.entries[r.ID]; e != nil && e.Boot == r.Boot && e.Addr == r.Addr && e.Leaving() {
-			list[i].Draining = true
-		}
-	}
-	return list
-}
-
-// WithoutDeparted returns list without the runs of upstreams that departed before the
-// given time. A store that was restored from a copy lists them again.
-func (t *Table) WithoutDeparted(list []Registration, before time.Time) []Registration {
-	return slices.DeleteFunc(slices.Clone(list), func(r Registration) bool {
-		d, known := t.departed[r.ID]
-		return known && d.boot == r.Boot && d.at.Before(before)
-	})
-}
-
 func (t *Table) register(now time.Time, r Registration) (*Entry, string) {
 	e, known := t.entries[r.ID]
 	kind := ""
@@ -276,115 +218,6 @@
 	return e, kind
 }
 
-// Pause is a time in which an upstream wants no requests from this instance.
-type Pause struct {
-	Asked   bool
-	For     time.Duration // from the answer; valid if Asked
-	Invalid bool          // a value could not be read, or several differed
-}
-
-// MaxPause bounds the effect of one answer. A longer pause would keep a faulty upstream
-// out of use for longer than it takes to replace it.
-const MaxPause = 30 * time.Second
-
-// Pause records that e wants no requests for d, at most MaxPause. It does not shorten a
-// pause, and ends with the run. It returns the time that it adds, and whether e did not
-// pause before.
-func (t *Table) Pause(now time.Time, e *Entry, d time.Duration) (added time.Duration, began bool) {
-	from := now
-	if now.Before(e.pausedUntil) {
-		from = e.pausedUntil
-	}
-	until := now.Add(min(d, MaxPause))
-	if !until.After(from) {
-		return 0, false
-	}
-	e.pausedUntil = until
-	return until.Sub(from), from.Equal(now)
-}
-
-// PausedUntil returns the end of the last pause of e.
-func (e *Entry) PausedUntil() time.Time { return e.pausedUntil }
-
-// FirstResume returns when the first upstream of a service wants requests again, if all
-// that are usable pause. It returns false if one does not, or if none is usable.
-func (t *Table) FirstResume(now time.Time, id fleet.ServiceID) (time.Time, bool) {
-	var first time.Time
-	for _, e := range t.byService[id] {
-		switch {
-		case !t.Usable(e) || now.Before(e.ejectedUntil):
-		case !now.Before(e.pausedUntil):
-			return time.Time{}, false
-		case first.IsZero() || e.pausedUntil.Before(first):
-			first = e.pausedUntil
-		}
-	}
-	return first, !first.IsZero()
-}
-
-// Run identifies one run of an upstream.
-type Run struct {
-	ID   fleet.UpstreamID
-	Boot fleet.BootID
-	Addr string
-}
-
-// LeavingByAnswer returns the number of upstreams of each service of which SaidLeaving
-// was called, including zeros.
-func (t *Table) LeavingByAnswer() map[fleet.ServiceID]int {
-	out := make(map[fleet.ServiceID]int, len(t.byService))
-	for id, entries := range t.byService {
-		out[id] = 0
-		for _, e := range entries {
-			if e.saidLeaving {
-				out[id]++
-			}
-		}
-	}
-	return out
-}
-
-// RunsLeaving returns the runs of which SaidLeaving was called.
-func (t *Table) RunsLeaving() []Run {
-	var list []Run
-	for _, e := range t.entries {
-		if e.saidLeaving {
-			list = append(list, e.run())
-		}
-	}
-	return list
-}
-
-// GetRun returns the entry of a run, or nil if the run is unknown.
-func (t *Table) GetRun(run Run) *Entry {
-	if e := t.entries[run.ID]; e != nil && e.run() == run {
-		return e
-	}
-	return nil
-}
-
-func (e *Entry) run() Run { return Run{ID: e.ID, Boot: e.Boot, Addr: e.Addr} }
-
-// SaidLeaving records that an answer of the run e has said that it leaves. It holds for
-// this run until its registration is gone, whatever later lists say. It reports whether
-// this is the first such answer.
-func (t *Table) SaidLeaving(now time.Time, e *Entry) bool {
-	if e.saidLeaving {
-		return false
-	}
-	e.saidLeaving = true
-	if e.leavingSince.IsZero() {
-		e.leavingSince = now
-	}
-	return true
-}
-
-// Leaving reports whether e leaves, by its registration or by its own answers.
-func (e *Entry) Leaving() bool { return e.Draining || e.saidLeaving }
-
-// LeavingSince returns when this instance learned that e leaves, or the zero time.
-func (e *Entry) LeavingSince() time.Time { return e.leavingSince }
-
 // Evacuate replaces the set of evacuated zones, whose upstreams are sent no requests.
 // The upstreams of a zone that is no longer evacuated count as cold.
 func (t *Table) Evacuate(now time.Time, zones map[fleet.ZoneID]bool) {
