--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -497,9 +497,9 @@
 const minServiceTime = 0.005
 
 // updateMembers removes instances that have stopped reporting, but not while the lease is
-// invalid: a leader that has lost the others must not become its own majority. It records the current
-// instances if their number has grown, or fallen below minRecordedShare of the recorded
-// number.
+// invalid: a leader that has lost the others must not become its own majority. It records
+// the current instances if their number has grown, or fallen below minRecordedShare of the
+// recorded number.
 func (r *Router) updateMembers(now time.Time, l *leadership, leaseValid bool) {
 	var current []fleet.Peer
 	for id, m := range l.members {
