balance, direct: measured use of leaving upstreams

Nothing showed how long after an upstream starts to leave an instance still sends requests there: the log and the metrics had neither the time that the news takes nor the last request.

The log lines of a draining and of a gone upstream and the histogram parsleyproxy_direct_leaving_use_seconds now count from the last list that showed the upstream ready, the earliest moment at which it may have started to leave.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -88,12 +88,14 @@
 // Entry is an upstream with the state that this instance has observed.
 type Entry struct {
 	Registration
-	InFlight        int       // requests of this instance
-	leavingSince    time.Time // when this instance learned that the upstream leaves; zero if it does not
-	pausedUntil     time.Time // the upstream wants no requests before
-	saidLeaving     bool      // an answer of this run has said that it leaves
-	coldUntil       time.Time
-	nextColdRequest time.Time // earliest time of the next request while cold
+	InFlight         int       // requests of this instance
+	leavingSince     time.Time // when this instance learned that the upstream leaves; zero if it does not
+	leavingNotBefore time.Time // when it was last known not to leave, at or before leavingSince
+	lastSent         time.Time // start of the last request
+	pausedUntil      time.Time // the upstream wants no requests before
+	saidLeaving      bool      // an answer of this run has said that it leaves
+	coldUntil        time.Time
+	nextColdRequest  time.Time // earliest time of the next request while cold
 
 	shortMeanTime        float64 // seconds, without queueing or slowdown; 0 if unknown
 	longMeanTime         float64 // seconds, without queueing but with slowdowns, over more answers; 0 if unknown
@@ -118,6 +120,7 @@
 	meanTimes  map[fleet.ServiceID]float64 // mean service time in seconds over all upstreams of a service; 0 if unknown
 	departed   map[fleet.UpstreamID]departure
 	evacuated  map[fleet.ZoneID]bool
+	listedAt   time.Time // when the list was known to be current; zero before the first one
 	rng        *rand.Rand
 	self       fleet.InstanceID
 	instances  []fleet.InstanceID
@@ -139,6 +142,10 @@
 type Change struct {
 	ID   fleet.UpstreamID
 	Kind string // "new", "restarted", "draining" or "gone"
+	// LearnedAfter is the time from the earliest moment at which an upstream may have
+	// started to leave until this instance learned it. Of an upstream that is gone,
+	// UsedFor is the time from that moment to the last request of this instance.
+	LearnedAfter, UsedFor time.Duration
 }
 
 // Replace replaces all registrations with list and returns the changes. Upstreams that
@@ -157,14 +164,15 @@
 			delete(t.departed, r.ID) // the run has registered again
 		}
 		if kind != "" {
-			changes = append(changes, Change{ID: r.ID, Kind: kind})
+			changes = append(changes, Change{ID: r.ID, Kind: kind, LearnedAfter: e.learnedAfter()})
 		}
 		entries[r.ID] = e
 		byService[r.Service] = append(byService[r.Service], e)
 	}
 	for id, e := range t.entries {
 		if entries[id] == nil {
-			changes = append(changes, Change{ID: id, Kind: "gone"})
+			t.noteLeaves(now, e, t.listedAt)
+			changes = append(changes, Change{ID: id, Kind: "gone", LearnedAfter: e.learnedAfter(), UsedFor: e.usedFor()})
 			t.departed[id] = e.departure(now)
 		}
 	}
@@ -200,7 +208,7 @@
 		if d := t.departed[r.ID]; d.boot == r.Boot && d.addr == r.Addr {
 			e.pausedUntil = d.pausedUntil
 			if d.saidLeaving {
-				e.saidLeaving, e.leavingSince = true, d.leavingSince
+				e.saidLeaving, e.leavingSince, e.leavingNotBefore = true, d.leavingSince, d.leavingNotBefore
 			}
 		}
 	case e.Boot != r.Boot || e.Addr != r.Addr:
@@ -212,8 +220,8 @@
 		e.coldUntil = until
 	}
 	e.Registration = r
-	if r.Draining && e.leavingSince.IsZero() {
-		e.leavingSince = now
+	if r.Draining {
+		t.noteLeaves(now, e, t.listedAt)
 	}
 	return e, kind
 }
@@ -379,6 +387,7 @@
 		e.lastProgress = now
 	}
 	e.InFlight++
+	e.lastSent = now
 }
 
 // AnsweredSince reports whether e has answered anything after t.
--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -10,18 +10,43 @@
 // departure is the run of an upstream whose registration has disappeared, or was replaced
 // by that of another run.
 type departure struct {
-	boot         fleet.BootID
-	addr         string
-	at           time.Time
-	saidLeaving  bool
-	leavingSince time.Time
-	pausedUntil  time.Time
+	boot             fleet.BootID
+	addr             string
+	at               time.Time
+	saidLeaving      bool
+	leavingSince     time.Time
+	leavingNotBefore time.Time
+	pausedUntil      time.Time
 }
 
 func (e *Entry) departure(now time.Time) departure {
-	return departure{boot: e.Boot, addr: e.Addr, at: now, saidLeaving: e.saidLeaving, leavingSince: e.leavingSince, pausedUntil: e.pausedUntil}
+	return departure{
+		boot: e.Boot, addr: e.Addr, at: now,
+		saidLeaving: e.saidLeaving, leavingSince: e.leavingSince, leavingNotBefore: e.leavingNotBefore,
+		pausedUntil: e.pausedUntil,
+	}
 }
 
+// SetListedAt records when the list was known to be current. An upstream that the next
+// list shows as leaving, or lacks, cannot have left earlier.
+func (t *Table) SetListedAt(at time.Time) { t.listedAt = at }
+
+// noteLeaves records that this instance has learned at now that e leaves, and that it did
+// not leave before notBefore, unless it knew already. A zero notBefore is unknown.
+func (t *Table) noteLeaves(now time.Time, e *Entry, notBefore time.Time) {
+	if !e.leavingSince.IsZero() {
+		return
+	}
+	if notBefore.IsZero() || notBefore.After(now) {
+		notBefore = now
+	}
+	e.leavingSince, e.leavingNotBefore = now, notBefore
+}
+
+func (e *Entry) learnedAfter() time.Duration { return e.leavingSince.Sub(e.leavingNotBefore) }
+
+func (e *Entry) usedFor() time.Duration { return max(0, e.lastSent.Sub(e.leavingNotBefore)) }
+
 // departureMemory is the time for which departures are remembered, longer than
 // registrations of upstreams that have left may be listed again.
 const departureMemory = time.Minute
@@ -162,9 +187,7 @@
 		return false
 	}
 	e.saidLeaving = true
-	if e.leavingSince.IsZero() {
-		e.leavingSince = now
-	}
+	t.noteLeaves(now, e, now)
 	return true
 }
 
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -361,7 +361,15 @@
 	}
 	r.mu.Unlock()
 	for _, c := range changes {
-		r.log.Info("upstream registration changed", "upstream", c.ID, "change", c.Kind)
+		fields := []any{"upstream", c.ID, "change", c.Kind}
+		switch c.Kind {
+		case "draining":
+			fields = append(fields, "learned-after-ms", c.LearnedAfter.Milliseconds())
+		case "gone":
+			fields = append(fields, "learned-after-ms", c.LearnedAfter.Milliseconds(), "used-for-ms", c.UsedFor.Milliseconds())
+			r.metrics.leavingUse.Observe(c.UsedFor.Seconds())
+		}
+		r.log.Info("upstream registration changed", fields...)
 	}
 	r.updateReadiness()
 }
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -26,6 +26,7 @@
 	invalidEntries  *prometheus.CounterVec // by kind
 	invalidPauses   prometheus.Counter
 	pauseSeconds    *prometheus.CounterVec // by service
+	leavingUse      prometheus.Histogram
 
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
 	refreshGauges        func(now time.Time)
@@ -42,6 +43,10 @@
 // dense around the target latencies of routes.
 var durationBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 3, 6}
 
+// leavingUseBuckets are the upper bounds of the histogram of the use of leaving upstreams,
+// in seconds. The platforms bound it by 2 or 2.5 s.
+var leavingUseBuckets = []float64{0, 0.25, 0.5, 1, 1.5, 2, 2.5, 3, 5}
+
 // NewMetrics returns collectors without any observation.
 func NewMetrics() *Metrics {
 	m := &Metrics{
@@ -77,6 +82,10 @@
 	m.pauseSeconds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "parsleyproxy_direct_pause_seconds_total", Help: "Time for which upstreams have asked for no requests, added up when they ask.",
 	}, []string{"service"})
+	m.leavingUse = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "parsleyproxy_direct_leaving_use_seconds", Help: "Time from the earliest moment at which an upstream may have started to leave to the last request sent to it.",
+		Buckets: leavingUseBuckets,
+	})
 	m.leavingByAnswer = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams_leaving_by_answer", Help: "Upstreams whose answers say that they leave.",
 	}, []string{"service"})
@@ -96,7 +105,7 @@
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.pauseSeconds)
+	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.storeEra, m.upstreams, m.leavingByAnswer)
 	return m
 }
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -376,6 +376,7 @@
 // The caller must hold mu.
 func (r *Router) setListedAt(requestedAt time.Time) {
 	r.listedAt = requestedAt
+	r.upstreams.SetListedAt(requestedAt)
 	if !r.storeFailingSince.IsZero() && r.listedDuringFailure.IsZero() {
 		r.listedDuringFailure = requestedAt
 	}
