direct: a change of the list after a delayed reply is applied

Cause: an instance dates the leader's list by the arrival of the reply less the age that the leader states. A reply that is delayed by more than the interval of the lists looks newer than the next one. The change in the next reply was then stored in the replica but not applied, and the replies after it, which have no change, only renewed the age of the list in use: it looked fresh and lacked the change until another upstream came or left.

Evidence: TestChangeAfterDelayedReplyIsApplied failed before, for a change by the same leader and for one by the next leader.

A list that may be older than the one in use, from the store or from an earlier leader, is not forgotten: it is applied with the next reply that is newer.

--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -275,10 +275,15 @@
 	if changed {
 		list = r.listReplica.apply(rp.Term, rp.List)
 	}
-	newer := listedAt.After(r.listedAt) // else this instance has read a newer list from the store
+	// The lists of one leader follow each other, whatever their ages: a delay of a reply
+	// makes its list look newer than it is.
+	sameLeader := rp.Term == rep.ListTerm && !r.listFromStore
+	newer := sameLeader || listedAt.After(r.listedAt) // else the list in use may be newer than the leader's
+	listedAt = latest(listedAt, r.listedAt)
 	if newer && !changed && !r.listFromStore {
 		r.setListedAt(listedAt)
 	}
+	r.listFromStore = r.listFromStore || changed && !newer // the list in use lacks the changes
 	r.noteEra(now, rp.Term.Era())
 	r.operatorSeqReceived, r.leaderRestorations = rp.OperatorSeq, rp.Restorations
 	if rp.OperatorTag != "" && rp.OperatorTag == r.operatorState.Load().Tag() {
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -100,7 +100,7 @@
 	// demandReportedAt is the time of that report.
 	demandReportedAt    time.Time
 	listReplica         listReplica
-	listFromStore       bool          // the list of upstreams was read from the store, not received from the leader
+	listFromStore       bool          // the list of upstreams in use is not listReplica, but was read from the store or received from an earlier leader
 	operatorSeqReceived uint64        // last version of the operator state received from the leader
 	leaderRestorations  uint64        // in the leader's last reply
 	leavingSaid         chan struct{} // closed when an upstream has said that it leaves
