direct: the age of a reply's content includes the delays of the messages

A follower dated the leader's list and configuration by the arrival of the reply.

The reply now states how long the leader held the report. Its content is dated by the earliest time at which the leader may have made it: the sending of the report plus that time. Replies of an earlier version are dated as before. Guarded by TestReplyTimeIncludesDelays.

--- a/internal/direct/late_reply_test.go
+++ b/internal/direct/late_reply_test.go
@@ -28,7 +28,7 @@
 		replyAt := func(now time.Time, term fleet.Revision, seq uint64, age time.Duration, changed ...balance.Registration) {
 			rep := report{ListTerm: r.listReplica.term, ListSeq: r.listReplica.seq}
 			complete := rep.ListTerm != term
-			r.applyReply(now, rep, reply{Term: term, List: listDelta{Seq: seq, Age: age, Complete: complete, Changed: changed}})
+			r.applyReply(now, now, rep, reply{Term: term, List: listDelta{Seq: seq, Age: age, Complete: complete, Changed: changed}})
 		}
 		replyAt(at(900), 7, 1, 100*time.Millisecond, ready) // made at 100, so that its list is that of 0
 		if c.fromStore {
@@ -42,3 +42,21 @@
 		}
 	}
 }
+
+// Guards against a list that counts as newer than it is because the report or the reply
+// was delayed on its way.
+func TestReplyTimeIncludesDelays(t *testing.T) {
+	sentAt := time.Unix(1_700_000_000, 0)
+	for name, c := range map[string]struct {
+		arrival, held, want time.Duration // since the report was sent
+	}{
+		"held by the leader":   {710 * time.Millisecond, 700 * time.Millisecond, 700 * time.Millisecond},
+		"delayed on its way":   {900 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond},
+		"clocks of other rate": {700 * time.Millisecond, 701 * time.Millisecond, 700 * time.Millisecond},
+		"time not stated":      {900 * time.Millisecond, -1, 900 * time.Millisecond},
+	} {
+		if got := replyTime(sentAt.Add(c.arrival), sentAt, c.held).Sub(sentAt); got != c.want {
+			t.Errorf("%s: replied %v after the report, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -231,6 +231,10 @@
 	var e jx.Encoder
 	e.ObjStart()
 	encodeRevision(&e, "term", "era", r.Term)
+	if r.Held >= 0 {
+		e.FieldStart("held-ms")
+		e.Int64(r.Held.Milliseconds())
+	}
 	encodeRestorations(&e, r.Restorations)
 	if len(r.Members) > 0 {
 		e.FieldStart("instances")
@@ -303,13 +307,15 @@
 }
 
 func decodeReply(data []byte) (reply, error) {
-	var r reply
+	r := reply{Held: -1}
 	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, field string) (err error) {
 		switch field {
 		case "term":
 			err = decodeNumber(d, &r.Term)
 		case "era":
 			err = decodeEra(d, &r.Term)
+		case "held-ms":
+			r.Held, err = decodeMillis(d)
 		case "restorations":
 			r.Restorations, err = d.UInt64()
 		case "instances":
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -84,6 +84,9 @@
 // reply is the leader's answer to a report.
 type reply struct {
 	Term fleet.Revision
+	// Held is the time between the arrival of the report and the reply, negative if it is
+	// not stated.
+	Held time.Duration
 	// Restorations is the number of restorations of the store that the leader has learned
 	// of. An instance repeats it in its reports, which shows that it still follows.
 	Restorations uint64
@@ -218,7 +221,8 @@
 
 // report sends one report to the leader and applies the reply.
 func (r *Router) report(ctx context.Context, info leaderInfo) error {
-	rep := r.collectReport(time.Now())
+	sentAt := time.Now()
+	rep := r.collectReport(sentAt)
 	ctx, cancel := context.WithTimeout(ctx, r.currentLongPollWait()+replyTimeoutMargin)
 	defer cancel()
 	res, err := r.peers.Do(ctx, info.addr, &http1.Request{Method: http.MethodPost, Target: reportPath, Body: rep.encode()}, nil)
@@ -247,11 +251,22 @@
 	if rp.Term != info.term {
 		return notLeaderError{info.id}
 	}
-	r.applyReply(time.Now(), rep, rp)
+	now := time.Now()
+	r.applyReply(now, replyTime(now, sentAt, rp.Held), rep, rp)
 	r.applyMap(rp)
 	return nil
 }
 
+// replyTime returns the earliest time at which the leader may have made a reply that
+// arrived at now, to a report sent at sentAt. What the reply states may be as old as that:
+// either message may have been delayed.
+func replyTime(now, sentAt time.Time, held time.Duration) time.Time {
+	if t := sentAt.Add(held); held >= 0 && t.Before(now) {
+		return t
+	}
+	return now
+}
+
 // applyMap updates the holder map from a reply.
 func (r *Router) applyMap(rp reply) {
 	cur := r.holderMap.Load()
@@ -263,9 +278,10 @@
 	}
 }
 
-// applyReply applies all of a reply but the holder map.
-func (r *Router) applyReply(now time.Time, rep report, rp reply) {
-	listedAt := now.Add(-rp.List.Age)
+// applyReply applies all of a reply but the holder map. repliedAt is the earliest time at
+// which the leader may have made it.
+func (r *Router) applyReply(now, repliedAt time.Time, rep report, rp reply) {
+	listedAt := repliedAt.Add(-rp.List.Age)
 	r.setInstances(rp.Members)
 	r.mu.Lock()
 	r.leader.heardAt = now
@@ -287,11 +303,11 @@
 	r.noteEra(now, rp.Term.Era())
 	r.operatorSeqReceived, r.leaderRestorations = rp.OperatorSeq, rp.Restorations
 	if rp.OperatorTag != "" && rp.OperatorTag == r.operatorState.Load().Tag() {
-		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, now.Add(-rp.OperatorAge))
+		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, repliedAt.Add(-rp.OperatorAge))
 	}
 	fromStore := r.listFromStore
 	r.mu.Unlock()
-	r.applyOperator(now, rp)
+	r.applyOperator(repliedAt, rp)
 	if newer && (changed || fromStore) {
 		if !changed {
 			list = r.listReplica.apply(rp.Term, rp.List)
@@ -305,7 +321,7 @@
 
 // applyOperator applies the operator state in a reply, if there is one. It may be older
 // than the state of this instance.
-func (r *Router) applyOperator(now time.Time, rp reply) {
+func (r *Router) applyOperator(repliedAt time.Time, rp reply) {
 	if rp.OperatorRevision == 0 {
 		return
 	}
@@ -325,12 +341,13 @@
 		}
 		next.Table, next.Source = table, rp.Source
 	}
-	r.setOperatorState(now.Add(-rp.OperatorAge), next)
+	r.setOperatorState(repliedAt.Add(-rp.OperatorAge), next)
 }
 
 // servePeer serves the requests of other instances: reports, queries for the leader and
 // requests for tokens.
 func (r *Router) servePeer(w http.ResponseWriter, req *http.Request) {
+	receivedAt := time.Now()
 	body, err := io.ReadAll(req.Body)
 	switch req.URL.Path {
 	case leaderPath:
@@ -371,7 +388,9 @@
 		}
 		t.Stop()
 	}
+	held := time.Since(receivedAt)
 	rp := r.reply(l, rep)
+	rp.Held = held
 	if _, err := w.Write(compressReply(w.Header(), rp.encode())); err != nil {
 		r.log.Debug("sending the reply to a report failed", "instance", rep.Instance, "error", err)
 	}
--- a/internal/direct/restored_test.go
+++ b/internal/direct/restored_test.go
@@ -152,7 +152,7 @@
 	r.upstreams.Replace(now.Add(-time.Minute/2), []balance.Registration{{ID: "gone", Boot: "1", Service: "s", Slots: 1}})
 	r.upstreams.Replace(now.Add(-time.Second), nil)
 	r.mu.Unlock()
-	r.applyReply(now, report{}, reply{Term: fleet.NewRevision(2, 40)})
+	r.applyReply(now, now, report{}, reply{Term: fleet.NewRevision(2, 40)})
 	at := now.Add(time.Second)
 	if held := r.holdEvacuations(at, operatorState(2, 41, 7)); !held.Evacuated["lost"] {
 		t.Error("the evacuation that the restored store lacks has ended")
