direct: one bound for all waits until the last request to a leaving upstream

Cause: each wait on the way had a bound of its own, and they were not added up. Without the leader, an instance of 70 noticed the age of its list after 1.55 s (+ 50 ms), read it within 0.5 s and sent requests for keys to their holder for 0.9 s more: 3.0 s and the time to get a connection, where the platform allows 2.5 s. With 12 instances it was 2.6 s of 2 s.

The bound is the platform's (bounds.drain, Settings.LeavingUse). The use of a holder and of one in an evacuated zone counts from the last list that showed it ready, not from the time at which the instance learned otherwise. The age at which an instance reads the list itself leaves room for the waits after it, for any number of instances. A request that had to wait for a connection is checked again before it is written.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -139,7 +139,7 @@
 			table := newTable("i", 2)
 			e := table.Get("u0")
 			table.Started(start, e)
-			if !table.SaidLeaving(start, e) || table.SaidLeaving(start.Add(time.Second), e) || !e.LeavingSince().Equal(start) {
+			if !table.SaidLeaving(start, e) || table.SaidLeaving(start.Add(time.Second), e) || !e.LeavingNotBefore().Equal(start) {
 				t.Error("the first answer does not count, or a later one counts as the first")
 			}
 			c.lists(table, registrations(2))
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -50,6 +50,7 @@
 
 	Retry       RetryLimit
 	Quota       QuotaTolerance
+	LeavingUse  time.Duration // time within which requests to an upstream that starts to leave must stop
 	MaxGrantTTL time.Duration // longest allowed duration of a grant
 	MinLeaseTTL time.Duration // shortest lease that the store accepts
 }
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -39,9 +39,7 @@
 	restoredEntryTime = 6 * time.Second
 	// minLapseOutage is the shortest outage during which registrations may expire.
 	minLapseOutage = time.Second
-	// listInterval is the time between two lists of upstreams by the leader. An
-	// upstream that is leaving must not receive requests later than 2 s after the store
-	// accepted this state.
+	// listInterval is the time between two lists of upstreams by the leader.
 	listInterval = 500 * time.Millisecond
 	// stalenessMargin is added to the duration of a long poll: if the list of upstreams
 	// or the operator state is older than both together, the instance reads it from the
@@ -213,6 +211,10 @@
 	if next.Table != nil && (cur == nil || cur.Table == nil) {
 		close(r.configured)
 	}
+	notBefore := r.operatorConfirmedAt // of the changes
+	if notBefore.IsZero() || notBefore.After(now) {
+		notBefore = now
+	}
 	r.operatorConfirmedAt = latest(r.operatorConfirmedAt, now)
 	if cur.Tag() != next.Tag() {
 		r.operatorSeq++
@@ -220,7 +222,7 @@
 	}
 	for zone := range next.Evacuated {
 		if _, seen := r.evacuatedSince[zone]; !seen {
-			r.evacuatedSince[zone] = now
+			r.evacuatedSince[zone] = notBefore
 			r.log.Info("zone evacuated", "zone", zone, "revision", next.Revision)
 		}
 	}
@@ -303,11 +305,12 @@
 // store.
 func (r *Router) awaitListReadDue(ctx context.Context) {
 	for ctx.Err() == nil {
-		limit := r.currentLongPollWait() + stalenessMargin
-		if r.isLeader() {
-			limit = listInterval
-		}
+		limit := listInterval
+		leads := r.isLeader()
 		r.mu.Lock()
+		if !leads {
+			limit = listAgeLimit(len(r.instances), r.cfg.LeavingUse)
+		}
 		age := time.Since(r.listedAt)
 		r.mu.Unlock()
 		if age >= limit {
@@ -317,6 +320,14 @@
 	}
 }
 
+// listAgeLimit returns the age of its list at which one of n instances reads the list from
+// the store. An upstream that started to leave just after this list must not be sent
+// requests once leavingUse has passed, when the instance has noticed the age, read the
+// list and sent the requests that it had already decided on.
+func listAgeLimit(n int, leavingUse time.Duration) time.Duration {
+	return max(listInterval, min(longPollWait(n)+stalenessMargin, leavingUse-stalenessPoll-storeTimeout-sendMargin))
+}
+
 // noteEra records the era of the store, as the store or the leader states it. What is read
 // from a restored store is incomplete until others have written again what it has lost.
 // The caller must hold mu.
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -20,13 +20,12 @@
 	// minHedgeShare is the share of the route's target latency before which a request
 	// is not hedged.
 	minHedgeShare = 0.3
-	// drainingHolderUse is how long the holder of a key still receives requests after
-	// this instance saw it draining, or received an answer that says so. Requests must
-	// stop within 2 s of its announcement, of which the list of upstreams takes up to
-	// listInterval.
-	drainingHolderUse = 900 * time.Millisecond
-	// evacuatedHolderUse is the same for a holder in an evacuated zone, where requests
-	// may continue for 5 s.
+	// sendMargin is the time reserved for a request to reach an upstream after the last
+	// check that it may be sent there. It covers an instance that has used up its share of
+	// a core and does not run for a while.
+	sendMargin = 300 * time.Millisecond
+	// evacuatedHolderUse is how long the holder of a key in an evacuated zone still receives
+	// requests after the evacuation may have begun. Requests must stop within 5 s.
 	evacuatedHolderUse = 2500 * time.Millisecond
 	// resumeSpread is the time over which the requests are spread that wait for the end of
 	// a pause of their upstreams, and the shortest spread of the retry delays of refused
@@ -66,7 +65,8 @@
 	a := attempt{upstream: upstream, id: run.ID}
 	req := &http1.Request{
 		Method: x.method, Target: x.target, Host: x.host, Body: x.body, Attempts: &x.attemptGroup,
-		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
+		BeforeWrite: func() error { return r.checkSend(time.Now(), x, upstream) },
+		Header:      r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
 		metadata := r.platform.Protocol.ParseResponse(res.Status, res.Header)
@@ -159,6 +159,8 @@
 	switch {
 	case a.err != nil && errors.Is(ctx.Err(), context.Canceled):
 		return balance.Abandoned
+	case errors.Is(a.err, errNotAllowed):
+		return balance.Abandoned
 	case errors.Is(a.err, http1.ErrConnRejected):
 		return balance.Full
 	case errors.As(a.err, &notSent):
@@ -442,6 +444,9 @@
 	switch {
 	case errors.Is(a.err, http1.ErrConnRejected):
 		return refuse(http.StatusServiceUnavailable, "holder-full", retryAfterFull), true
+	case errors.Is(a.err, errNotAllowed):
+		x.arrivals--
+		retry = true
 	case errors.As(a.err, &notSent):
 		x.arrivals--
 		retry = true
@@ -491,11 +496,8 @@
 	if upstream == nil {
 		return nil, "holder-gone", time.Time{}
 	}
-	if upstream.Leaving() && now.Sub(upstream.LeavingSince()) > drainingHolderUse {
-		return nil, "holder-leaves", time.Time{}
-	}
-	if since, evacuated := r.evacuatedSince[upstream.Zone]; evacuated && now.Sub(since) > evacuatedHolderUse {
-		return nil, "holder-evacuated", time.Time{}
+	if reason := r.holderEnds(now, upstream); reason != "" {
+		return nil, reason, time.Time{}
 	}
 	if resumes := upstream.PausedUntil(); now.Before(resumes) {
 		return nil, "holder-paused", resumes
@@ -507,6 +509,35 @@
 	return upstream, "", time.Time{}
 }
 
+// holderEnds returns the reason why the holder of a key receives no requests any more,
+// although its keys have not been moved yet, or "". The caller must hold mu.
+func (r *Router) holderEnds(now time.Time, upstream *balance.Entry) (reason string) {
+	if upstream.Leaving() && now.Sub(upstream.LeavingNotBefore()) >= r.cfg.LeavingUse-sendMargin {
+		reason = "holder-leaves"
+	}
+	if since, evacuated := r.evacuatedSince[upstream.Zone]; evacuated && now.Sub(since) >= evacuatedHolderUse {
+		reason = "holder-evacuated"
+	}
+	return reason
+}
+
+// errNotAllowed means that an upstream stopped being usable for a request while the
+// request waited for a connection.
+var errNotAllowed = errors.New("the upstream may no longer be sent the request")
+
+// checkSend returns errNotAllowed if x may no longer be sent to upstream.
+func (r *Router) checkSend(now time.Time, x *exchange, upstream *balance.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.upstreams.Get(upstream.ID) != upstream, now.Before(upstream.PausedUntil()),
+		x.service.Sharded && r.holderEnds(now, upstream) != "",
+		!x.service.Sharded && !r.upstreams.Usable(upstream):
+		return errNotAllowed
+	}
+	return nil
+}
+
 // awaitHolder waits for a change of the holder map or for holderPollInterval, as long
 // as x can still be answered in time. It returns false and a refusal otherwise. The
 // wait since the request's arrival is limited to share times the target latency.
--- a/internal/direct/reload.go
+++ b/internal/direct/reload.go
@@ -48,7 +48,7 @@
 	changed := next != r.lastSettings
 	r.lastSettings = next
 	if changed {
-		r.cfg.ShutdownGrace = next.ShutdownGrace
+		r.cfg.ShutdownGrace, r.cfg.LeavingUse = next.ShutdownGrace, next.LeavingUse
 		if next.Retry != r.cfg.Retry {
 			r.cfg.Retry = next.Retry
 			r.retryBudgets = make(map[fleet.ServiceID]*balance.RetryBudget)
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -71,7 +71,7 @@
 	homeFailedAt     map[fleet.InstanceID]time.Time   // last failure of homes to answer
 	retryBudgets     map[fleet.ServiceID]*balance.RetryBudget
 	instances        []fleet.Peer
-	evacuatedSince   map[fleet.ZoneID]time.Time // when this instance saw a zone being evacuated
+	evacuatedSince   map[fleet.ZoneID]time.Time // the earliest time at which the evacuation of a zone may have begun
 	holderMapUpdated chan struct{}              // closed when holderMap changes
 
 	// Age of this state.
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -92,6 +92,9 @@
 	// Attempts links the attempts of the request at one Transport, which then use different
 	// connections. If nil, any connection is used. Pool ignores it.
 	Attempts *AttemptGroup
+	// BeforeWrite, if not nil, is called once a connection is available. If it returns an
+	// error, the request is not sent. Pool ignores it.
+	BeforeWrite func() error
 }
 
 // Response is an HTTP response with its complete body.
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -235,6 +235,14 @@
 		if err != nil {
 			return nil, &NotSentError{Addr: addr, Err: err}
 		}
+		if req.BeforeWrite != nil {
+			if err := req.BeforeWrite(); err != nil {
+				if !reused || !t.putBack(addr, pc) {
+					_ = pc.conn.Close()
+				}
+				return nil, &NotSentError{Addr: addr, Err: err}
+			}
+		}
 		req.Attempts.add(pc)
 		stop := context.AfterFunc(ctx, func() { _ = pc.conn.SetDeadline(time.Unix(1, 0)) })
 		n, err := pc.conn.Write(encodeRequest(addr, req))
@@ -346,6 +354,11 @@
 		return false
 	}
 	pc.expires = now.Add(keep)
+	return t.putBack(addr, pc)
+}
+
+// putBack keeps pc for later requests until it expires, unless there are enough.
+func (t *Transport) putBack(addr string, pc *persistentConn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.idle[addr]) >= t.cfg.MaxIdlePerAddr {
