--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -9,6 +9,8 @@
 // Invariants:
 //   - an upstream that is leaving, gone or in an evacuated zone is sent no requests; one
 //     that has said in an answer that it leaves does so until it ends, whatever is listed
+//   - an upstream whose limit for all instances has no slot for this one is sent no request
+//     before it has
 //   - the request rate to a cold upstream from all instances together stays within its
 //     limit; each instance computes its share of the limit without communication
 package balance
@@ -94,6 +96,7 @@
 	lastSent         time.Time // start of the last request
 	pausedUntil      time.Time // the upstream wants no requests before
 	saidLeaving      bool      // an answer of this run has said that it leaves
+	limit            rateLimit // that this run names
 	coldUntil        time.Time
 	nextColdRequest  time.Time // earliest time of the next request while cold
 
@@ -206,7 +209,7 @@
 	case !known:
 		e, kind = &Entry{lastLearned: now}, "new"
 		if d := t.departed[r.ID]; d.boot == r.Boot && d.addr == r.Addr {
-			e.pausedUntil = d.pausedUntil
+			e.pausedUntil, e.limit = d.pausedUntil, d.limit
 			if d.saidLeaving {
 				e.saidLeaving, e.leavingSince, e.leavingNotBefore = true, d.leavingSince, d.leavingNotBefore
 			}
@@ -327,6 +330,10 @@
 			reason = "upstreams-paused"
 			continue
 		}
+		if now.Before(e.limit.takesAgainAt) {
+			reason = "upstreams-limited"
+			continue
+		}
 		cost := t.cost(now, e, q)
 		if best != nil && cost >= bestCost {
 			continue
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -212,11 +212,11 @@
 	if e = table.Get("u0"); chosen(start.Add(3 * time.Second)) {
 		t.Error("the pause ends because the run is not listed for a moment")
 	}
-	if _, all := table.FirstResume(start, lookup); all {
+	if _, _, all := table.FirstResume(start, lookup); all {
 		t.Error("all upstreams pause, want one that does not")
 	}
 	pause(0, table.Get("u1"), 24*time.Hour, MaxPause, true)
-	resumes, all := table.FirstResume(start, lookup)
+	resumes, _, all := table.FirstResume(start, lookup)
 	if want := start.Add(4 * time.Second); !all || !resumes.Equal(want) {
 		t.Errorf("first resumes at %v (%t), want %v", resumes, all, want)
 	}
--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -17,13 +17,14 @@
 	leavingSince     time.Time
 	leavingNotBefore time.Time
 	pausedUntil      time.Time
+	limit            rateLimit
 }
 
 func (e *Entry) departure(now time.Time) departure {
 	return departure{
 		boot: e.Boot, addr: e.Addr, at: now,
 		saidLeaving: e.saidLeaving, leavingSince: e.leavingSince, leavingNotBefore: e.leavingNotBefore,
-		pausedUntil: e.pausedUntil,
+		pausedUntil: e.pausedUntil, limit: e.limit,
 	}
 }
 
@@ -120,20 +121,23 @@
 // PausedUntil returns the end of the last pause of e.
 func (e *Entry) PausedUntil() time.Time { return e.pausedUntil }
 
-// FirstResume returns when the first upstream of a service wants requests again, if all
-// that are usable pause. It returns false if one does not, or if none is usable.
-func (t *Table) FirstResume(now time.Time, id fleet.ServiceID) (time.Time, bool) {
-	var first time.Time
+// FirstResume returns when the first upstream of a service takes requests again, if all
+// that are usable pause or have reached their limits, and which of the two it is. It
+// returns false if one takes requests now, or if none is usable.
+func (t *Table) FirstResume(now time.Time, id fleet.ServiceID) (first time.Time, cause HoldBack, ok bool) {
 	for _, e := range t.byService[id] {
 		switch {
 		case !t.Usable(e) || now.Before(e.ejectedUntil):
-		case !now.Before(e.pausedUntil):
-			return time.Time{}, false
-		case first.IsZero() || e.pausedUntil.Before(first):
-			first = e.pausedUntil
+		case !now.Before(e.ResumesAt()):
+			return time.Time{}, cause, false
+		case first.IsZero() || e.ResumesAt().Before(first):
+			first, cause = e.ResumesAt(), LimitReached
+			if first.Equal(e.pausedUntil) {
+				cause = Paused
+			}
 		}
 	}
-	return first, !first.IsZero()
+	return first, cause, !first.IsZero()
 }
 
 // Run identifies one run of an upstream.
--- /dev/null
+++ b/internal/balance/limited.go
@@ -0,0 +1,146 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+// NamedLimit is what an answer says about the request rate that its upstream takes from
+// all instances together.
+type NamedLimit struct {
+	Named   bool
+	Rate    fleet.PerSecond // valid if Named
+	Invalid bool            // a value could not be read or is out of range, or several differed
+}
+
+const (
+	// MinNamedLimit and MaxNamedLimit bound the effect of a named limit. With a lower one,
+	// hardly any answer could show that the upstream no longer names it; no upstream
+	// reaches a higher one.
+	MinNamedLimit fleet.PerSecond = 0.25
+	MaxNamedLimit fleet.PerSecond = 1e6
+)
+
+// rateLimit is the limit that a run of an upstream names, or its end.
+type rateLimit struct {
+	rate fleet.PerSecond // 0: none
+	at   time.Time       // when it was last named, or was seen to have ended
+	// takesAgainAt is when the limit has a slot for a request of this instance; zero if
+	// that is unknown.
+	takesAgainAt time.Time
+}
+
+// RunLimit is the limit of a run, as instances tell each other.
+type RunLimit struct {
+	Run  Run
+	Rate fleet.PerSecond // 0: the run names no limit any more
+	Age  time.Duration   // since it was last named, or was seen to have ended
+}
+
+// LimitRate returns the rate that e names as its limit for all instances together, or 0.
+func (e *Entry) LimitRate() fleet.PerSecond { return e.limit.rate }
+
+// RunLimit returns the limit of e as it is told to other instances.
+func (e *Entry) RunLimit(now time.Time) RunLimit {
+	return RunLimit{Run: e.run(), Rate: e.limit.rate, Age: max(0, now.Sub(e.limit.at))}
+}
+
+// NoteLimit records what an answer of e to a request sent at sentAt says of its limit. ran
+// states that the upstream has run the request: only such an answer without a limit ends
+// one, and only if the request was sent after the limit was last named, since answers
+// overtake each other. It reports whether the limit has changed.
+func (t *Table) NoteLimit(now, sentAt time.Time, e *Entry, l NamedLimit, ran bool) bool {
+	switch {
+	case l.Named:
+		return e.setLimit(now, min(max(l.Rate, MinNamedLimit), MaxNamedLimit))
+	case l.Invalid || !ran || e.limit.rate == 0 || !sentAt.After(e.limit.at):
+		return false
+	}
+	return e.setLimit(now, 0)
+}
+
+// LearnLimit records the limit of a run as another instance states it, if it is newer than
+// what this instance knows. It reports whether the limit has changed.
+func (t *Table) LearnLimit(now time.Time, l RunLimit) bool {
+	e, at := t.GetRun(l.Run), now.Add(-max(0, l.Age))
+	if e == nil || !at.After(e.limit.at) || !(l.Rate >= 0) || l.Rate > MaxNamedLimit {
+		return false
+	}
+	return e.setLimit(at, l.Rate)
+}
+
+func (e *Entry) setLimit(at time.Time, rate fleet.PerSecond) bool {
+	changed := e.limit.rate != rate
+	if changed {
+		e.limit.takesAgainAt = time.Time{}
+	}
+	e.limit.rate, e.limit.at = rate, at
+	return changed
+}
+
+// NoteLimitReached records that the limit of e has no slot for a request of this instance
+// before the given time.
+func (t *Table) NoteLimitReached(e *Entry, until time.Time) {
+	if e.limit.rate > 0 && until.After(e.limit.takesAgainAt) {
+		e.limit.takesAgainAt = until
+	}
+}
+
+// HoldBack is why an upstream that is usable takes no requests for some time.
+type HoldBack int
+
+// The reasons.
+const (
+	Paused       HoldBack = iota // it has asked for a pause
+	LimitReached                 // the limit that it names has no slot
+)
+
+// ResumesAt returns when e takes requests again that pauses or whose limit is reached.
+func (e *Entry) ResumesAt() time.Time {
+	if e.limit.takesAgainAt.After(e.pausedUntil) {
+		return e.limit.takesAgainAt
+	}
+	return e.pausedUntil
+}
+
+// FirstLimited returns the upstream of a service whose limit is the first to have a slot
+// again, among those that are usable and only held back by their limits, or nil.
+func (t *Table) FirstLimited(now time.Time, q Query) *Entry {
+	var first *Entry
+	for _, e := range t.byService[q.Service] {
+		if !t.Usable(e) || q.Exclude[e.ID] || now.Before(e.ejectedUntil) || now.Before(e.pausedUntil) || e.Cold(now) || !now.Before(e.limit.takesAgainAt) {
+			continue
+		}
+		if first == nil || e.limit.takesAgainAt.Before(first.limit.takesAgainAt) {
+			first = e
+		}
+	}
+	return first
+}
+
+// LimitedUpstreams returns the number of upstreams of each service that name a limit,
+// including zeros.
+func (t *Table) LimitedUpstreams() map[fleet.ServiceID]int {
+	out := make(map[fleet.ServiceID]int, len(t.byService))
+	for id, entries := range t.byService {
+		out[id] = 0
+		for _, e := range entries {
+			if e.limit.rate > 0 {
+				out[id]++
+			}
+		}
+	}
+	return out
+}
+
+// RunLimits returns the limits of all runs that name or have named one.
+func (t *Table) RunLimits(now time.Time) []RunLimit {
+	var list []RunLimit
+	for _, e := range t.entries {
+		if !e.limit.at.IsZero() {
+			list = append(list, e.RunLimit(now))
+		}
+	}
+	return list
+}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -30,6 +30,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/quota"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -72,6 +73,11 @@
 	Slack   float64
 }
 
+// accountTolerance returns q as the tolerance of the limits of client accounts.
+func accountTolerance(q QuotaTolerance) quota.Config {
+	return quota.Config{Window: q.Window, Overage: q.Overage, Slack: q.Slack}
+}
+
 // OperatorState is the state that operators set: the configuration and the zones whose
 // upstreams are to receive no requests.
 type OperatorState struct {
@@ -178,6 +184,7 @@
 	Handover string // set only by a release that succeeded
 	Leaving  bool   // the upstream says that it leaves
 	Pause    balance.Pause
+	Limit    balance.NamedLimit
 }
 
 // RequestMetadata holds the metadata of a caller's request, besides its method, path
@@ -206,6 +213,7 @@
 	NotHolder bool          // the upstream is not the addressed one, or does not hold the key
 	Leaving   bool          // the upstream says that it leaves
 	Pause     balance.Pause // in which the upstream wants no requests from this instance
+	Limit     balance.NamedLimit
 	Load      *balance.Load // nil if the upstream did not report any
 }
 
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -77,6 +77,7 @@
 			r.noteLeaving(time.Now(), upstream, x.info.ID, "answer")
 		}
 		r.notePause(time.Now(), upstream, metadata.Pause, x.info.ID, "answer")
+		r.noteLimit(time.Now(), sentAt, upstream, metadata.Limit, !metadata.NotRun, x.info.ID, "answer")
 		return true
 	})
 	now := time.Now()
@@ -105,8 +106,8 @@
 	r.mu.Lock()
 	changed, run := r.upstreams.SaidLeaving(now, upstream), upstream.Registration
 	if changed {
-		close(r.leavingSaid)
-		r.leavingSaid = make(chan struct{})
+		close(r.newsSaid)
+		r.newsSaid = make(chan struct{})
 	}
 	r.mu.Unlock()
 	if changed {
@@ -205,18 +206,30 @@
 	return outcome{status: a.response.Status, header: p.CallerHeader(a.response.Header), body: a.response.Body}
 }
 
-// chooseUpstream selects an upstream by load balancing that is not in tried, adds it to
-// tried and counts the request as in flight there. If there is none, it returns the
-// reason.
-func (r *Router) chooseUpstream(now time.Time, x *exchange, tried map[fleet.UpstreamID]bool) (*balance.Entry, string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	upstream, reason := r.upstreams.Choose(now, balance.Query{Service: x.service.ID, Zone: r.cfg.Zone, Target: x.route.Target, Exclude: tried})
-	if upstream != nil {
-		r.upstreams.Started(now, upstream)
-		tried[upstream.ID] = true
+// chooseUpstream selects an upstream by load balancing that is not in tried and whose
+// limit admits x now, adds it to tried and counts the request as in flight there. If there
+// is none, it returns the reason.
+func (r *Router) chooseUpstream(ctx context.Context, now time.Time, x *exchange, tried map[fleet.UpstreamID]bool) (*balance.Entry, string) {
+	for {
+		r.mu.Lock()
+		upstream, reason := r.upstreams.Choose(now, r.query(x, tried))
+		if upstream != nil {
+			r.upstreams.Started(now, upstream)
+		}
+		r.mu.Unlock()
+		if upstream == nil {
+			return nil, reason
+		}
+		if r.admitSend(ctx, now, x, upstream, 0).Admitted {
+			tried[upstream.ID] = true
+			return upstream, ""
+		}
+		r.release(now, upstream)
 	}
-	return upstream, reason
+}
+
+func (r *Router) query(x *exchange, tried map[fleet.UpstreamID]bool) balance.Query {
+	return balance.Query{Service: x.service.ID, Zone: r.cfg.Zone, Target: x.route.Target, Exclude: tried}
 }
 
 // takeRetry reports whether x may be sent once more, and takes the repetition from the
@@ -285,35 +298,67 @@
 // launch starts an attempt at one more upstream. If there is none, it returns the
 // reason.
 func (f *fanOut) launch(ctx context.Context) (string, bool) {
-	upstream, reason := f.r.chooseUpstream(time.Now(), f.x, f.tried)
+	upstream, reason := f.r.chooseUpstream(ctx, time.Now(), f.x, f.tried)
 	if upstream == nil {
 		return reason, false
 	}
+	f.launchAt(ctx, upstream)
+	return "", true
+}
+
+// launchAt starts an attempt at an upstream that has been chosen.
+func (f *fanOut) launchAt(ctx context.Context, upstream *balance.Entry) {
 	f.running++
 	f.mayHaveRun++
 	f.x.arrivals++
 	go func() { f.results <- f.r.send(ctx, f.x, upstream) }()
-	return "", true
 }
 
-// launchFirst starts the first attempt. If all upstreams pause, it waits for the first one
-// that wants requests again, or refuses at once if that is after the deadline.
+// launchReserved reserves the first slot that the limit of an upstream has in time for the
+// request, waits for it and starts the attempt. It returns false if there is none.
+func (f *fanOut) launchReserved(ctx context.Context) bool {
+	for range maxLimitTries {
+		now := time.Now()
+		f.r.mu.Lock()
+		upstream := f.r.upstreams.FirstLimited(now, f.r.query(f.x, f.tried))
+		if upstream != nil {
+			f.r.upstreams.Started(now, upstream)
+		}
+		f.r.mu.Unlock()
+		if upstream == nil {
+			return false
+		}
+		d := f.r.admitSend(ctx, now, f.x, upstream, f.r.maxLimitWait(now, f.x, upstream))
+		if d.Admitted {
+			sleep(ctx, d.Wait)
+			f.tried[upstream.ID] = true
+			f.launchAt(ctx, upstream)
+			return true
+		}
+		f.r.release(now, upstream)
+	}
+	return false
+}
+
+// launchFirst starts the first attempt. If all upstreams pause or have reached their
+// limits, it waits for the first one that takes requests again, or refuses at once if that
+// is too late.
 func (f *fanOut) launchFirst(ctx context.Context) (outcome, bool) {
 	for {
 		reason, ok := f.launch(ctx)
-		if ok {
+		if ok || f.launchReserved(ctx) {
 			return outcome{}, true
 		}
 		now := time.Now()
 		f.r.mu.Lock()
-		resumes, paused := f.r.upstreams.FirstResume(now, f.x.service.ID)
+		resumes, cause, known := f.r.upstreams.FirstResume(now, f.x.service.ID)
 		spread := time.Duration(f.r.rng.Float64() * float64(resumeSpread))
 		f.r.mu.Unlock()
 		switch {
-		case !paused:
+		case !known:
 			return refuse(http.StatusServiceUnavailable, reason, retryAfterNotReady), false
-		case resumes.Add(resumeSpread).After(f.x.deadline):
-			return f.r.refusePaused(now, "upstreams-paused", resumes), false
+		case cause != balance.Paused || resumes.Add(resumeSpread).After(f.x.deadline):
+			return f.r.refuseUntil(now, cause, resumes), false
 		}
 		sleep(ctx, resumes.Add(spread).Sub(now))
 		if ctx.Err() != nil {
@@ -325,14 +370,22 @@
 // refuseFull returns the refusal of a request that no upstream has accepted.
 func (f *fanOut) refuseFull(now time.Time) outcome {
 	f.r.mu.Lock()
-	resumes, paused := f.r.upstreams.FirstResume(now, f.x.service.ID)
+	resumes, cause, known := f.r.upstreams.FirstResume(now, f.x.service.ID)
 	f.r.mu.Unlock()
-	if paused {
-		return f.r.refusePaused(now, "upstreams-paused", resumes)
+	if known {
+		return f.r.refuseUntil(now, cause, resumes)
 	}
 	return refuse(http.StatusServiceUnavailable, "upstreams-full", retryAfterFull)
 }
 
+// refuseUntil is refusePaused for a request that any upstream may serve.
+func (r *Router) refuseUntil(now time.Time, cause balance.HoldBack, resumes time.Time) outcome {
+	if cause == balance.LimitReached {
+		return r.refusePaused(now, "upstreams-limited", resumes)
+	}
+	return r.refusePaused(now, "upstreams-paused", resumes)
+}
+
 // refusePaused refuses a request because no upstream that may serve it wants requests
 // before the time resumes. The retry delays are spread, so that callers do not return
 // all at once.
@@ -406,10 +459,27 @@
 	if !x.info.HasRoutingKey {
 		return refuse(http.StatusBadRequest, "no-routing-key", 0)
 	}
+	var reserved *balance.Entry // the holder whose limit has a slot for x
 	for {
 		changed := r.holderMapChanged()
 		now := time.Now()
 		upstream, reason, resumes := r.chooseHolder(now, x)
+		if upstream != nil && upstream != reserved {
+			d := r.admitSend(ctx, now, x, upstream, r.maxLimitWait(now, x, upstream))
+			if !d.Admitted || d.Wait > 0 {
+				r.release(now, upstream)
+			}
+			if !d.Admitted {
+				reason = "holder-limited"
+				return r.refusePaused(now, reason, now.Add(d.Wait))
+			}
+			if d.Wait > 0 {
+				reserved = upstream
+				sleep(ctx, d.Wait)
+				continue
+			}
+		}
+		reserved = nil
 		if upstream == nil {
 			if latestWait := x.receivedAt.Add(time.Duration(holderWaitShare * float64(x.route.Target))); resumes.After(latestWait) || resumes.After(x.deadline) {
 				return r.refusePaused(now, "holder-paused", resumes)
@@ -478,6 +548,14 @@
 	return outcome{}, false
 }
 
+// release states that a request that was counted as in flight at upstream is not sent
+// there.
+func (r *Router) release(now time.Time, upstream *balance.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.upstreams.Ended(now, upstream, balance.Abandoned, 0, nil)
+}
+
 // chooseHolder returns the upstream that holds the key of x if it may receive the
 // request now, else the reason why not. If the holder pauses, it returns the end of the
 // pause too.
--- a/internal/direct/homes.go
+++ b/internal/direct/homes.go
@@ -25,61 +25,106 @@
 	// homeRetryDelay is the time for which a home that did not answer is not asked
 	// again.
 	homeRetryDelay = 400 * time.Millisecond
-	// homesPerAccount is the number of instances that are asked for a token, in the
-	// order of the account's rendezvous hashes. An instance that is restarting stays in
-	// the list of instances for memberTimeout.
-	homesPerAccount = 2
+	// homesPerKey is the number of instances that are asked for a token, in the order of
+	// the rendezvous hashes of the limit's key. An instance that is restarting stays in the
+	// list of instances for memberTimeout.
+	homesPerKey = 2
 	// fallbackDivisor reduces the share of the limit that an instance admits while no
 	// home answers, to 1/fallbackDivisor of an even share: other instances may still
 	// reach the home, which admits the whole limit.
 	fallbackDivisor = 2
 )
 
-// withinLimit reports whether the limit of x's account admits x, and if not, the time
-// until it may.
-func (r *Router) withinLimit(ctx context.Context, x *exchange) (bool, time.Duration) {
-	id, limit := x.account.ID, x.account.Limit
+// limiter enforces the limits of one kind, such as those of client accounts, over all
+// instances. Router.mu guards its fields.
+type limiter[K comparable] struct {
+	tolerance quota.Config
+	divided   *quota.Table[K]    // used for limits that are divided among instances
+	fallback  *quota.Table[K]    // used for keys whose homes do not answer
+	home      *quota.Home[K]     // used for keys whose home is this instance
+	homes     map[K][]fleet.Peer // cache; follows from the instances
+	name      func(K) string     // by which the homes of a key are chosen
+	// request sends a claim to the home of its key.
+	request func(ctx context.Context, home fleet.Peer, c claim[K]) (quota.Decision, error)
+	// logFailure logs that the home of a claim's key did not answer.
+	logFailure func(home fleet.InstanceID, c claim[K], err error)
+}
+
+// claim asks whether a request that can wait up to maxWait is within a limit.
+type claim[K comparable] struct {
+	key     K
+	limit   fleet.Limit
+	maxWait time.Duration
+	id      fleet.RequestID
+}
+
+func newLimiter[K comparable](now time.Time, tolerance quota.Config) limiter[K] {
+	return limiter[K]{
+		tolerance: tolerance, divided: quota.New[K](now, tolerance), fallback: quota.New[K](now, tolerance),
+		home: quota.NewHome[K](tolerance), homes: make(map[K][]fleet.Peer),
+	}
+}
+
+func (l *limiter[K]) setTolerance(tolerance quota.Config) {
+	l.tolerance = tolerance
+	l.divided.SetConfig(tolerance)
+	l.fallback.SetConfig(tolerance)
+	l.home.SetConfig(tolerance)
+}
+
+// forget removes what is counted for a key that has no limit any more.
+func (l *limiter[K]) forget(key K) {
+	l.divided.Forget(key)
+	l.fallback.Forget(key)
+	l.home.Forget(key)
+	delete(l.homes, key)
+}
+
+// reserve decides on a claim, and if it admits the request, counts it.
+func (l *limiter[K]) reserve(ctx context.Context, r *Router, now time.Time, c claim[K]) quota.Decision {
 	r.mu.Lock()
 	n := r.instanceCount()
-	if quota.Divided(limit, n) || len(r.instances) == 0 {
+	if l.tolerance.Divided(c.limit, n) || len(r.instances) == 0 {
 		defer r.mu.Unlock()
-		return r.quota.Admit(x.receivedAt, id, limit, n)
+		return l.divided.Reserve(now, c.key, c.limit, n, c.maxWait)
 	}
-	r.quota.CountedByHome(x.receivedAt, id, limit)
-	homes := r.availableHomes(x.receivedAt, id)
+	l.divided.CountedByHome(now, c.key, c.limit)
+	homes := l.availableHomes(now, r, c.key)
 	if len(homes) > 0 && homes[0].ID == r.cfg.Instance {
 		defer r.mu.Unlock()
-		return r.homeQuota.Admit(x.receivedAt, id, limit)
+		return l.home.Reserve(now, c.key, c.limit, c.maxWait)
 	}
 	r.mu.Unlock()
 	for _, home := range homes {
 		if home.ID == r.cfg.Instance {
 			continue // other instances ask the first home; counting here too would admit more
 		}
-		ok, wait, err := r.requestToken(ctx, home, id)
+		d, err := l.request(ctx, home, c)
 		r.mu.Lock()
 		if err == nil {
-			r.fallbackQuota.CountedByHome(x.receivedAt, id, limit)
+			l.fallback.CountedByHome(now, c.key, c.limit)
 			r.mu.Unlock()
-			return ok, wait
+			return d
+		}
+		if ctx.Err() == nil { // else the caller has left
+			r.homeFailedAt[home.ID] = time.Now()
 		}
-		r.homeFailedAt[home.ID] = time.Now()
 		r.mu.Unlock()
-		r.log.Info("account home did not answer", "request", x.info.ID, "account", id, "home", home.ID, "error", err)
+		l.logFailure(home.ID, c, err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fallbackQuota.Admit(x.receivedAt, id, limit, fallbackDivisor*n)
+	return l.fallback.Reserve(now, c.key, c.limit, fallbackDivisor*n, c.maxWait)
 }
 
-// availableHomes returns the instances that may count the account's requests, in the
-// order in which they are to be asked: those with the highest rendezvous hashes,
-// without those that recently failed to answer. The caller must hold mu.
-func (r *Router) availableHomes(now time.Time, id fleet.AccountID) []fleet.Peer {
-	homes, known := r.homesByAccount[id]
+// availableHomes returns the instances that may count the requests under the limit of
+// key, in the order in which they are to be asked: those with the highest rendezvous
+// hashes, without those that recently failed to answer. The caller must hold mu.
+func (l *limiter[K]) availableHomes(now time.Time, r *Router, key K) []fleet.Peer {
+	homes, known := l.homes[key]
 	if !known {
-		homes = rendezvous(id, r.instances, homesPerAccount)
-		r.homesByAccount[id] = homes
+		homes = rendezvous(l.name(key), r.instances, homesPerKey)
+		l.homes[key] = homes
 	}
 	var available []fleet.Peer
 	for _, p := range homes {
@@ -90,13 +135,20 @@
 	return available
 }
 
-// rendezvous returns the n peers with the highest rendezvous hashes for the account,
-// highest first.
-func rendezvous(id fleet.AccountID, peers []fleet.Peer, n int) []fleet.Peer {
+// withinLimit reports whether the limit of x's account admits x, and if not, the time
+// until it may.
+func (r *Router) withinLimit(ctx context.Context, x *exchange) (bool, time.Duration) {
+	d := r.accounts.reserve(ctx, r, x.receivedAt, claim[fleet.AccountID]{key: x.account.ID, limit: x.account.Limit, id: x.info.ID})
+	return d.Admitted, d.Wait
+}
+
+// rendezvous returns the n peers with the highest rendezvous hashes for name, highest
+// first.
+func rendezvous(name string, peers []fleet.Peer, n int) []fleet.Peer {
 	var selected []fleet.Peer
 	var hashes []uint64
 	for _, p := range peers {
-		h := xxhash.Sum64String(string(id) + "/" + string(p.ID))
+		h := xxhash.Sum64String(name + "/" + string(p.ID))
 		pos := len(selected)
 		for pos > 0 && h > hashes[pos-1] {
 			pos--
@@ -111,26 +163,30 @@
 	return selected
 }
 
-// requestToken requests a token from a home of the account. If it is denied, the
-// duration is the time until the next token.
-func (r *Router) requestToken(ctx context.Context, home fleet.Peer, id fleet.AccountID) (bool, time.Duration, error) {
+func (r *Router) logAccountHomeFailure(home fleet.InstanceID, c claim[fleet.AccountID], err error) {
+	r.log.Info("account home did not answer", "request", c.id, "account", c.key, "home", home, "error", err)
+}
+
+// requestToken requests a token from a home of the account. The home knows the limit, and
+// such requests do not wait.
+func (r *Router) requestToken(ctx context.Context, home fleet.Peer, c claim[fleet.AccountID]) (quota.Decision, error) {
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
 	defer cancel()
-	res, err := r.peers.Do(ctx, home.Addr, &http1.Request{Method: http.MethodGet, Target: tokensPath + "?" + url.QueryEscape(string(id))}, nil)
+	res, err := r.peers.Do(ctx, home.Addr, &http1.Request{Method: http.MethodGet, Target: tokensPath + "?" + url.QueryEscape(string(c.key))}, nil)
 	if err != nil {
-		return false, 0, err
+		return quota.Decision{}, err
 	}
 	switch res.Status {
 	case http.StatusOK:
-		return true, 0, nil
+		return quota.Decision{Admitted: true}, nil
 	case http.StatusTooManyRequests:
 		waitMillis, err := strconv.ParseInt(strings.TrimSpace(string(res.Body)), 10, 64)
 		if err != nil {
-			return false, 0, errors.Wrap(err, "decode the time until the next token")
+			return quota.Decision{}, errors.Wrap(err, "decode the time until the next token")
 		}
-		return false, time.Duration(waitMillis) * time.Millisecond, nil
+		return quota.Decision{Wait: time.Duration(waitMillis) * time.Millisecond}, nil
 	}
-	return false, 0, errors.Errorf("unexpected status %d", res.Status)
+	return quota.Decision{}, errors.Errorf("unexpected status %d", res.Status)
 }
 
 // serveToken handles a token request of another instance for an account whose home is
@@ -151,7 +207,7 @@
 		return
 	}
 	r.mu.Lock()
-	ok, wait := r.homeQuota.Admit(time.Now(), account.ID, account.Limit)
+	ok, wait := r.accounts.home.Admit(time.Now(), account.ID, account.Limit)
 	r.mu.Unlock()
 	if ok {
 		w.WriteHeader(http.StatusOK)
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -417,6 +417,7 @@
 			if c.Release {
 				timeout = releaseTimeout
 			}
+			sentAt := time.Now()
 			callCtx, cancel := context.WithTimeout(ctx, timeout)
 			answer, err := r.platform.Holders.Call(callCtx, addr, c)
 			cancel()
@@ -425,6 +426,7 @@
 				r.noteLeaving(time.Now(), upstream, "", "grant-call")
 			}
 			r.notePause(time.Now(), upstream, answer.Pause, "", "grant-call")
+			r.noteLimit(time.Now(), sentAt, upstream, answer.Limit, false, "", "grant-call")
 			r.logCall(c, res, err)
 		}
 		select {
@@ -484,9 +486,13 @@
 	var list []keyspace.Upstream
 	for _, e := range entries {
 		s := max(r.upstreams.LongMeanTime(now, e), minServiceTime)
+		capacity := float64(e.Slots) / s
+		if limit := float64(e.LimitRate()); limit > 0 {
+			capacity = min(capacity, limit)
+		}
 		list = append(list, keyspace.Upstream{
 			ID: e.ID, Boot: e.Boot, Usable: r.upstreams.Usable(e), Cold: e.Cold(now),
-			Capacity: float64(e.Slots) / s, Speed: mean / s,
+			Capacity: capacity, Speed: mean / s,
 		})
 	}
 	return list
--- a/internal/direct/leaving_use_test.go
+++ b/internal/direct/leaving_use_test.go
@@ -109,7 +109,7 @@
 	} {
 		r, x, _ := holdingRouter(t, time.Now(), ln.Addr().String())
 		x.service.Sharded, x.deadline = false, time.Now().Add(time.Second)
-		upstream, _ := r.chooseUpstream(time.Now(), x, make(map[fleet.UpstreamID]bool))
+		upstream, _ := r.chooseUpstream(t.Context(), time.Now(), x, make(map[fleet.UpstreamID]bool))
 		change(r, upstream)
 		transport := http1.NewTransport(http1.TransportConfig{DialTimeout: time.Second})
 		_, err := transport.Do(context.Background(), ln.Addr().String(), &http1.Request{
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -152,9 +152,12 @@
 		e.ArrEnd()
 	}
 	e.ObjEnd()
+	e.FieldStart("limit-seq")
+	e.UInt64(r.LimitSeq)
 	if len(r.Leaving) > 0 {
 		encodeRuns(&e, r.Leaving)
 	}
+	encodeRunLimits(&e, r.Limits)
 	e.FieldStart("keys")
 	e.ObjStart()
 	for id, keys := range r.Keys {
@@ -206,6 +209,10 @@
 			r.Demand, err = decodeDemand(d)
 		case "leaving":
 			r.Leaving, err = decodeRuns(d)
+		case "limit-seq":
+			r.LimitSeq, err = d.UInt64()
+		case "limits":
+			r.Limits, err = decodeRunLimits(d)
 		case "speeds":
 			r.ServiceTimes, err = decodeServiceTimes(d)
 		case "keys":
@@ -262,6 +269,9 @@
 	e.Int64(r.OperatorAge.Milliseconds())
 	e.FieldStart("list")
 	r.List.encode(&e)
+	e.FieldStart("limit-seq")
+	e.UInt64(r.LimitSeq)
+	encodeRunLimits(&e, r.Limits)
 	if r.MapVersion.Seq > 0 {
 		e.FieldStart("map")
 		r.encodeMap(&e)
@@ -343,6 +353,10 @@
 			r.OperatorAge, err = decodeMillis(d)
 		case "list":
 			r.List, err = decodeListDelta(d)
+		case "limit-seq":
+			r.LimitSeq, err = d.UInt64()
+		case "limits":
+			r.Limits, err = decodeRunLimits(d)
 		case "map":
 			err = r.decodeMap(d)
 		default:
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -25,6 +25,7 @@
 	droppedLogLines prometheus.Counter
 	invalidEntries  *prometheus.CounterVec // by kind
 	invalidPauses   prometheus.Counter
+	invalidLimits   prometheus.Counter
 	pauseSeconds    *prometheus.CounterVec // by service
 	leavingUse      prometheus.Histogram
 
@@ -37,6 +38,7 @@
 	storeEra             prometheus.Gauge
 	upstreams            *prometheus.GaugeVec // by service, state
 	leavingByAnswer      *prometheus.GaugeVec // by service
+	limited              *prometheus.GaugeVec // by service
 }
 
 // durationBuckets are the upper bounds of the duration histogram, in seconds. They are
@@ -79,6 +81,12 @@
 	m.invalidPauses = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "parsleyproxy_direct_invalid_pauses_total", Help: "Answers of upstreams that ask for a pause that cannot be read, is ambiguous or too long.",
 	})
+	m.invalidLimits = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "parsleyproxy_direct_invalid_limits_total", Help: "Answers of upstreams that name a limit that cannot be read, is ambiguous or out of range.",
+	})
+	m.limited = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "parsleyproxy_direct_upstreams_limited", Help: "Upstreams that name a request rate that they take from all instances together.",
+	}, []string{"service"})
 	m.pauseSeconds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "parsleyproxy_direct_pause_seconds_total", Help: "Time for which upstreams have asked for no requests, added up when they ask.",
 	}, []string{"service"})
@@ -105,8 +113,8 @@
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.pauseSeconds, m.leavingUse)
-	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.storeEra, m.upstreams, m.leavingByAnswer)
+	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
+	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
 	return m
 }
 
@@ -151,6 +159,10 @@
 	for service, n := range r.upstreams.LeavingByAnswer() {
 		m.leavingByAnswer.WithLabelValues(serviceLabel(service)).Set(float64(n))
 	}
+	m.limited.Reset()
+	for service, n := range r.upstreams.LimitedUpstreams() {
+		m.limited.WithLabelValues(serviceLabel(service)).Set(float64(n))
+	}
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
 			m.upstreams.WithLabelValues(serviceLabel(service), string(state)).Set(float64(n))
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -68,7 +68,7 @@
 	}
 	for _, r := range routers {
 		r.setInstances(peers)
-		r.homeQuota.Admit(time.Now().Add(-time.Minute), account.ID, account.Limit) // lets a full burst accumulate
+		r.accounts.home.Admit(time.Now().Add(-time.Minute), account.ID, account.Limit) // lets a full burst accumulate
 	}
 	send := func(n int) (admitted int) {
 		for i := range n {
@@ -82,7 +82,7 @@
 	if got := send(100); got < burst || got > burst+3 {
 		t.Errorf("all instances admitted %d of 100 simultaneous requests, want %d", got, burst)
 	}
-	homes := rendezvous(account.ID, peers, homesPerAccount)
+	homes := rendezvous(string(account.ID), peers, homesPerKey)
 	for _, r := range routers {
 		for _, p := range homes {
 			r.homeFailedAt[p.ID] = time.Now().Add(time.Hour)
@@ -112,8 +112,8 @@
 	r, _ := newRouter(t, "i000")
 	r.platform.Store = ownershipStore{record: keyspace.Record{Instances: peersNamed(60)}}
 	r.loadOwnership(t.Context())
-	want := rendezvous("small", peersNamed(60), homesPerAccount)
-	if diff := cmp.Diff(want, r.availableHomes(time.Now(), "small")); diff != "" {
+	want := rendezvous("small", peersNamed(60), homesPerKey)
+	if diff := cmp.Diff(want, r.accounts.availableHomes(time.Now(), r, "small")); diff != "" {
 		t.Error(diff)
 	}
 	if diff := cmp.Diff(60, r.instanceCount()); diff != "" {
--- a/internal/direct/reload.go
+++ b/internal/direct/reload.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
-	"github.com/parsleyproxy/parsleyproxy/internal/quota"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -55,9 +54,7 @@
 		}
 		if next.Quota != r.cfg.Quota {
 			r.cfg.Quota = next.Quota
-			for _, t := range []interface{ SetConfig(quota.Config) }{r.quota, r.fallbackQuota, r.homeQuota} {
-				t.SetConfig(quota.Config(next.Quota))
-			}
+			r.accounts.setTolerance(accountTolerance(next.Quota))
 		}
 	}
 	if signalled || changed {
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -78,7 +78,11 @@
 	OperatorSeq   uint64                               // last version of the operator state received from this leader
 	OperatorTag   string                               // tag of the sender's operator state
 	Restorations  uint64                               // number in the last reply of this leader
-	Leaving       []balance.Run                        // that have said so to the sender; the leader answers such a report at once
+	LimitSeq      uint64                               // last version of this leader's limits of upstreams that the sender has
+	// Leaving are the upstreams that have said to the sender that they leave, and Limits the
+	// limits that they have named to it. The leader answers a report with either at once.
+	Leaving []balance.Run
+	Limits  []balance.RunLimit
 }
 
 // reply is the leader's answer to a report.
@@ -98,6 +102,8 @@
 	Members    []fleet.Peer                // empty if unchanged
 	Demand     map[fleet.AccountID]float64 // requests/s of all instances; nil if the report has none, or the sum is unknown
 	List       listDelta
+	Limits     []balance.RunLimit // of upstreams; those that have changed since the sender's version
+	LimitSeq   uint64             // version of the leader's limits
 	// The leader's operator state, and the time since the leader knew it to be current.
 	OperatorTag string
 	OperatorSeq uint64 // version of the operator state, counted by this leader
@@ -116,7 +122,7 @@
 	rep.Keys = r.requestedKeys
 	r.requestedKeys = make(map[fleet.ServiceID][]keyspace.Key)
 	if now.Sub(r.demandReportedAt) >= time.Duration(demandIntervalShare*float64(longPollWait(len(r.instances)))) {
-		rep.Demand, r.demandReportedAt = r.quota.Demand(now), now
+		rep.Demand, r.demandReportedAt = r.accounts.divided.Demand(now), now
 		r.reportedDemand = rep.Demand
 	}
 	op := r.operatorState.Load()
@@ -132,7 +138,7 @@
 	rep := report{
 		Instance: r.cfg.Instance, Addr: r.cfg.PeerListen, StoreAge: r.storeAge(now), InstancesHash: fingerprint(r.instances),
 		ListTerm: r.listReplica.term, ListSeq: r.listReplica.seq, OperatorSeq: r.operatorSeqReceived, OperatorTag: r.operatorState.Load().Tag(),
-		Restorations: r.leaderRestorations,
+		Restorations: r.leaderRestorations, LimitSeq: r.limitSeqReceived,
 	}
 	if m := r.holderMap.Load(); m != nil {
 		rep.MapVersion = m.Version
@@ -140,14 +146,18 @@
 	return rep
 }
 
-// reportLeaving tells the leader of each upstream that has said that it leaves, as soon
-// as it does: the regular report may wait at the leader. Each leader is told anew.
-func (r *Router) reportLeaving(ctx context.Context) {
-	told := make(map[balance.Run]bool)
+// reportNews reports to the leader each upstream that has said that it leaves, or whose
+// limit has changed, as soon as it does: the regular report may wait at the leader. It
+// reports all to each leader.
+func (r *Router) reportNews(ctx context.Context) {
+	told, toldLimits := make(map[balance.Run]bool), make(map[balance.Run]uint64)
 	for ctx.Err() == nil {
+		now := time.Now()
 		r.mu.Lock()
-		said, info, rep := r.leavingSaid, r.leader, r.emptyReport(time.Now())
+		said, info, rep := r.newsSaid, r.leader, r.emptyReport(now)
 		runs := r.upstreams.RunsLeaving()
+		next := maps.Clone(toldLimits)
+		rep.Limits = r.ownLimits(now, next)
 		r.mu.Unlock()
 		maps.DeleteFunc(told, func(run balance.Run, _ bool) bool { return !slices.Contains(runs, run) })
 		for _, run := range runs {
@@ -155,26 +165,28 @@
 				rep.Leaving = append(rep.Leaving, run)
 			}
 		}
-		if len(rep.Leaving) > 0 {
-			if err := r.sendLeaving(ctx, info.addr, rep); err != nil {
-				r.log.Debug("reporting leaving upstreams failed", "leader", info.id, "error", err)
+		if len(rep.Leaving)+len(rep.Limits) > 0 {
+			if err := r.sendNews(ctx, info.addr, rep); err != nil {
+				r.log.Debug("reporting news of upstreams failed", "leader", info.id, "error", err)
 				sleep(ctx, storeRetryDelay)
 				continue
 			}
+			toldLimits = next
 			for _, run := range rep.Leaving {
 				told[run] = true
 			}
 		}
 		select {
 		case <-said:
+			sleep(ctx, newsInterval-time.Since(now))
 		case <-ctx.Done():
 		}
 	}
 }
 
-// sendLeaving sends a report of leaving upstreams. The reply is not applied, since it may
-// overtake that to the regular report.
-func (r *Router) sendLeaving(ctx context.Context, addr string, rep report) error {
+// sendNews sends a report of leaving and limited upstreams. The reply is not applied, since
+// it may overtake that to the regular report.
+func (r *Router) sendNews(ctx context.Context, addr string, rep report) error {
 	ctx, cancel := context.WithTimeout(ctx, replyTimeoutMargin)
 	defer cancel()
 	res, err := r.peers.Do(ctx, addr, &http1.Request{Method: http.MethodPost, Target: reportPath, Body: rep.encode()}, nil)
@@ -182,7 +194,7 @@
 		return err
 	}
 	if res.Status != http.StatusOK {
-		return errors.Errorf("report of leaving upstreams: status %d", res.Status)
+		return errors.Errorf("report of news: status %d", res.Status)
 	}
 	return nil
 }
@@ -192,7 +204,7 @@
 func (r *Router) follow(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { r.reportLeaving(ctx) })
+	wg.Go(func() { r.reportNews(ctx) })
 	defer wg.Wait()
 	defer cancel()
 	for ctx.Err() == nil {
@@ -285,7 +297,7 @@
 	r.setInstances(rp.Members)
 	r.mu.Lock()
 	r.leader.heardAt = now
-	r.quota.Learn(now, rp.Demand, r.reportedDemand, r.instanceCount())
+	r.accounts.divided.Learn(now, rp.Demand, r.reportedDemand, r.instanceCount())
 	changed := rp.List.Seq != rep.ListSeq || rp.Term != rep.ListTerm || !r.listDue.IsZero() && !now.Before(r.listDue)
 	var list []balance.Registration
 	if changed {
@@ -301,13 +313,14 @@
 	}
 	r.listFromStore = r.listFromStore || changed && !newer // the list in use lacks the changes
 	r.noteEra(now, rp.Term.Era())
-	r.operatorSeqReceived, r.leaderRestorations = rp.OperatorSeq, rp.Restorations
+	r.operatorSeqReceived, r.leaderRestorations, r.limitSeqReceived = rp.OperatorSeq, rp.Restorations, rp.LimitSeq
 	if rp.OperatorTag != "" && rp.OperatorTag == r.operatorState.Load().Tag() {
 		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, repliedAt.Add(-rp.OperatorAge))
 	}
 	fromStore := r.listFromStore
 	r.mu.Unlock()
 	r.applyOperator(repliedAt, rp)
+	defer r.learnLimits(now, rp.Limits, "leader") // after the upstreams are listed
 	if newer && (changed || fromStore) {
 		if !changed {
 			list = r.listReplica.apply(rp.Term, rp.List)
@@ -356,6 +369,9 @@
 	case tokensPath:
 		r.serveToken(w, req)
 		return
+	case upstreamTokensPath:
+		r.serveUpstreamToken(w, body)
+		return
 	}
 	if err != nil || req.URL.Path != reportPath {
 		w.WriteHeader(http.StatusNotFound)
@@ -379,7 +395,7 @@
 	case l.reports <- rep:
 	case <-l.stop:
 	}
-	if len(rep.Leaving) == 0 && !r.hasUpdate(l, rep) {
+	if len(rep.Leaving)+len(rep.Limits) == 0 && !r.hasUpdate(l, rep) {
 		t := time.NewTimer(r.currentLongPollWait())
 		select {
 		case <-changed:
@@ -445,6 +461,10 @@
 	}
 	rp.List = r.leaderList.changesSince(now, rep.ListSeq)
 	rp.List.Age = now.Sub(r.listedAt)
+	if rep.ListTerm != l.term {
+		rep.LimitSeq = 0
+	}
+	rp.Limits, rp.LimitSeq = r.limitsSince(now, rep.LimitSeq)
 	return rp
 }
 
@@ -465,6 +485,9 @@
 		}
 	}
 	r.learnLeaving(now, l, rep)
+	if rep.Instance != r.cfg.Instance {
+		r.learnLimits(now, rep.Limits, "report of "+string(rep.Instance))
+	}
 	r.mu.Lock()
 	if rep.Instance != r.cfg.Instance {
 		for id, s := range rep.ServiceTimes {
@@ -522,5 +545,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.totalDemand = total
-	r.quota.Learn(now, total, r.reportedDemand, r.instanceCount())
+	r.accounts.divided.Learn(now, total, r.reportedDemand, r.instanceCount())
 }
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -23,7 +23,8 @@
 		Demand:       map[fleet.AccountID]float64{"a": 12.5},
 		ServiceTimes: map[fleet.UpstreamID]balance.Samples{"u": {Unqueued: 2, UnqueuedSeconds: 0.25, Queued: 3, Lost: 1}},
 		StoreAge:     1200 * time.Millisecond, InstancesHash: 10, ListTerm: 3, ListSeq: 7, OperatorSeq: 2, OperatorTag: "5 [z]",
-		Leaving: []balance.Run{{ID: "u", Boot: "1", Addr: "1.2.3.4:5"}},
+		Leaving: []balance.Run{{ID: "u", Boot: "1", Addr: "1.2.3.4:5"}}, LimitSeq: 3,
+		Limits: []balance.RunLimit{{Run: balance.Run{ID: "v", Boot: "2", Addr: "1.2.3.4:6"}, Rate: 2.5, Age: time.Second}},
 	}
 	got, err := decodeReport(rep.encode())
 	if diff := cmp.Diff(rep, got); err != nil || diff != "" {
@@ -36,7 +37,7 @@
 		t.Error("a report with a leaving upstream without an address was accepted")
 	}
 	rp := reply{
-		Term: 3, Restorations: 1, MapVersion: keyspace.MapVersion{Term: 3, Seq: 10}, WholeMap: true,
+		Term: 3, Held: 250 * time.Millisecond, LimitSeq: 4, Limits: []balance.RunLimit{{Run: balance.Run{ID: "v", Boot: "2", Addr: "1.2.3.4:6"}, Age: time.Second}}, Restorations: 1, MapVersion: keyspace.MapVersion{Term: 3, Seq: 10}, WholeMap: true,
 		MapSpans: map[fleet.ServiceID][]keyspace.HeldSpan{"s": {
 			{Span: keyspace.Span{From: 0, To: 9}, Holder: "u"}, {Span: keyspace.Span{From: 10, To: 65535}},
 		}},
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -17,7 +17,6 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
-	"github.com/parsleyproxy/parsleyproxy/internal/quota"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -64,11 +63,9 @@
 
 	// State for decisions on requests.
 	upstreams        *balance.Table
-	quota            *quota.Table                     // used for accounts whose limits are divided among instances
-	fallbackQuota    *quota.Table                     // used for accounts whose homes do not answer
-	homeQuota        *quota.Home                      // used for accounts whose home is this instance
-	homesByAccount   map[fleet.AccountID][]fleet.Peer // cache; follows from instances
-	homeFailedAt     map[fleet.InstanceID]time.Time   // last failure of homes to answer
+	accounts         limiter[fleet.AccountID]
+	upstreamLimits   limiter[balance.Run]           // those that upstreams name
+	homeFailedAt     map[fleet.InstanceID]time.Time // last failure of homes to answer
 	retryBudgets     map[fleet.ServiceID]*balance.RetryBudget
 	instances        []fleet.Peer
 	evacuatedSince   map[fleet.ZoneID]time.Time // the earliest time at which the evacuation of a zone may have begun
@@ -92,6 +89,7 @@
 
 	invalidLoggedAt      map[entryKind]time.Time // last log lines about invalid entries in the store
 	invalidPauseLoggedAt time.Time               // last log line about an invalid pause
+	invalidLimitLoggedAt time.Time               // last log line about an invalid limit
 
 	// Data for reports to the leader, and from its replies.
 	leader         leaderInfo
@@ -103,7 +101,9 @@
 	listFromStore       bool          // the list of upstreams in use is not listReplica, but was read from the store or received from an earlier leader
 	operatorSeqReceived uint64        // last version of the operator state received from the leader
 	leaderRestorations  uint64        // in the leader's last reply
-	leavingSaid         chan struct{} // closed when an upstream has said that it leaves
+	limitLog            limitLog      // limits of upstreams, for the other instances
+	limitSeqReceived    uint64        // last version of the leader's limitLog that this instance has
+	newsSaid            chan struct{} // closed when an upstream has said that it leaves, or its limit has changed
 
 	// Data for replies, if this instance leads.
 	leadership  *leadership   // nil unless this instance leads
@@ -123,14 +123,18 @@
 		peers:                http1.NewTransport(http1.TransportConfig{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxBody: maxPeerBody, MaxIdlePerAddr: 2, CloseIdleOnError: true}),
 		operatorReadRequests: make(chan struct{}, 1), configured: make(chan struct{}),
 		leaderList: newLeaderList(), update: make(chan struct{}), recentMaps: make(map[keyspace.MapVersion]*keyspace.Map),
-		quota: quota.New(now, quota.Config(cfg.Quota)), fallbackQuota: quota.New(now, quota.Config(cfg.Quota)),
-		homeQuota: quota.NewHome(quota.Config(cfg.Quota)), homesByAccount: make(map[fleet.AccountID][]fleet.Peer), homeFailedAt: make(map[fleet.InstanceID]time.Time),
-		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}), leavingSaid: make(chan struct{}),
+		accounts: newLimiter[fleet.AccountID](now, accountTolerance(cfg.Quota)), upstreamLimits: newLimiter[balance.Run](now, upstreamTolerance),
+		homeFailedAt: make(map[fleet.InstanceID]time.Time), limitLog: newLimitLog(),
+		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}), newsSaid: make(chan struct{}),
 		requestedKeys:  make(map[fleet.ServiceID][]keyspace.Key),
 		evacuatedSince: make(map[fleet.ZoneID]time.Time), evacuationEndedAt: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
 		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 	}
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
+	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
+	r.accounts.request, r.accounts.logFailure = r.requestToken, r.logAccountHomeFailure
+	r.upstreamLimits.name = runName
+	r.upstreamLimits.request, r.upstreamLimits.logFailure = r.requestUpstreamToken, r.logUpstreamHomeFailure
 	m.refreshGauges = r.updateGauges
 	return r
 }
@@ -338,7 +342,8 @@
 		r.log.Info("fleet size changed", "instances", len(known), "before", before)
 	}
 	r.instances = known
-	clear(r.homesByAccount)
+	clear(r.accounts.homes)
+	clear(r.upstreamLimits.homes)
 	r.upstreams.SetInstances(instanceIDs(known))
 }
 
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -18,16 +18,20 @@
 )
 
 // Divided reports whether limit is divided among the given number of instances. A limit
-// that is not divided is counted only by the home of its account.
-func Divided(limit fleet.Limit, instances int) bool {
-	return limit.Unlimited() || float64(limit.Rate) >= minDividedRate*float64(max(instances, 1))
+// that is not divided is counted only by the home of its key.
+func (c Config) Divided(limit fleet.Limit, instances int) bool {
+	minRate := c.MinDividedRate
+	if minRate == 0 {
+		minRate = minDividedRate
+	}
+	return limit.Unlimited() || limit.Rate >= minRate*fleet.PerSecond(max(instances, 1))
 }
 
-// Home counts the requests, at all instances, of the accounts whose home this instance
-// is.
-type Home struct {
-	cfg      Config
-	accounts map[fleet.AccountID]*homeBucket
+// Home counts the requests, at all instances, under the limits of the keys whose home
+// this instance is.
+type Home[K comparable] struct {
+	cfg     Config
+	buckets map[K]*homeBucket
 }
 
 type homeBucket struct {
@@ -36,22 +40,29 @@
 }
 
 // NewHome returns a Home without buckets.
-func NewHome(cfg Config) *Home {
-	return &Home{cfg: cfg, accounts: make(map[fleet.AccountID]*homeBucket)}
+func NewHome[K comparable](cfg Config) *Home[K] {
+	return &Home[K]{cfg: cfg, buckets: make(map[K]*homeBucket)}
 }
 
 // SetConfig replaces the tolerances.
-func (h *Home) SetConfig(cfg Config) { h.cfg = cfg }
+func (h *Home[K]) SetConfig(cfg Config) { h.cfg = cfg }
+
+// Admit is like Reserve for a request that cannot wait. For a refused request, the
+// duration is the time until a token is available.
+func (h *Home[K]) Admit(now time.Time, key K, limit fleet.Limit) (bool, time.Duration) {
+	d := h.Reserve(now, key, limit, 0)
+	return d.Admitted, d.Wait
+}
 
-// Admit reports whether a request of the account is within its limit, and if so counts
-// it. For a refused request, the duration is the time until a token is available.
-func (h *Home) Admit(now time.Time, id fleet.AccountID, limit fleet.Limit) (bool, time.Duration) {
+// Reserve decides whether a request that can wait up to maxWait is within the limit of
+// its key, and if so counts it.
+func (h *Home[K]) Reserve(now time.Time, key K, limit fleet.Limit, maxWait time.Duration) Decision {
 	rate := float64(limit.Rate)
 	depth := max(1, float64(limit.Burst)+h.cfg.Slack*homeSlackShare)
-	p := h.accounts[id]
+	p := h.buckets[key]
 	if p == nil {
 		p = &homeBucket{tokens: max(1, rate*initialTokenTime.Seconds()), lastRefill: now}
-		h.accounts[id] = p
+		h.buckets[key] = p
 	}
 	// The time of a request may have been read before that of an earlier call. lastRefill
 	// never decreases, since the time in between would be refilled twice.
@@ -60,20 +71,19 @@
 		p.lastRefill = now
 	}
 	p.tokens = min(p.tokens, depth)
-	if p.tokens < 1 {
-		return false, time.Duration((1 - p.tokens) / rate * float64(time.Second))
-	}
-	p.tokens--
-	return true, 0
+	return take(&p.tokens, rate, maxWait)
 }
 
-// CountedByHome empties the account's bucket, because a home counts the requests of
-// the account. If the limit is divided again, this instance starts without tokens.
-func (t *Table) CountedByHome(now time.Time, id fleet.AccountID, limit fleet.Limit) {
-	b := t.accounts[id]
+// Forget removes the bucket of a key that has no limit any more.
+func (h *Home[K]) Forget(key K) { delete(h.buckets, key) }
+
+// CountedByHome empties the bucket of a key, because a home counts its requests. If the
+// limit is divided again, this instance starts without tokens.
+func (t *Table[K]) CountedByHome(now time.Time, key K, limit fleet.Limit) {
+	b := t.buckets[key]
 	if b == nil {
 		b = &bucket{}
-		t.accounts[id] = b
+		t.buckets[key] = b
 	}
 	b.limit, b.tokens, b.demand = limit, 0, 0
 	if now.After(b.lastRefill) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,10 +1,11 @@
-// Package quota enforces the request limits of client accounts over all instances.
+// Package quota enforces request limits over all instances: those of client accounts and
+// those that upstreams name. The key type K identifies what a limit applies to.
 //
-// The requests of an account with a small limit are counted by one instance, the home
-// of the account, which the other instances ask. For a large limit, each instance has a
-// token bucket per account. The rate and depth of the bucket are the account's limit
-// times this instance's share of the account's demand, which instances learn from each
-// other. An instance that receives no reports keeps its last share; what the other
+// The requests under a small limit are counted by one instance, the home of the key,
+// which the other instances ask. For a large limit, each instance has a token bucket per
+// key. The rate and depth of the bucket are the limit times this instance's share of the
+// demand, which instances learn from each other; without such reports the share is even.
+// An instance that receives no reports any more keeps its last share; what the other
 // instances then admit beyond theirs is within the tolerance of the limit.
 package quota
 
@@ -15,16 +16,26 @@
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
-// Config defines how far the platform lets an account exceed its limit.
+// Config defines how far the platform lets a limit be exceeded.
 type Config struct {
 	Window  time.Duration // limits are checked over windows of this length
 	Overage float64       // tolerated share of the limit, for example 0.1
 	Slack   float64       // tolerated requests per window in addition to Overage
+	// MinDividedRate is the rate per instance, in requests per second, from which a limit
+	// is divided among instances; 0 means minDividedRate.
+	MinDividedRate fleet.PerSecond
+}
+
+// Decision says whether a request is within its limit.
+type Decision struct {
+	Admitted bool
+	// Wait is the time after which an admitted request may be sent, or after which a
+	// refused one finds a token.
+	Wait time.Duration
 }
 
 const (
-	// demandHalfLife is the half-life of the average of an account's demand at one
-	// instance.
+	// demandHalfLife is the half-life of the average of a key's demand at one instance.
 	demandHalfLife = 1 * time.Second
 	// shareHalfLife is the half-life of the average of an instance's share of the demand.
 	// With it, the share follows callers that change to another instance within a few
@@ -57,10 +68,10 @@
 )
 
 // Table contains the token buckets of one instance.
-type Table struct {
-	cfg      Config
-	started  time.Time
-	accounts map[fleet.AccountID]*bucket
+type Table[K comparable] struct {
+	cfg     Config
+	started time.Time
+	buckets map[K]*bucket
 }
 
 type bucket struct {
@@ -76,24 +87,31 @@
 // New returns a table without buckets. Buckets start full only if they are created at
 // least a window after now, since it is unknown what an earlier run of the instance has
 // admitted.
-func New(now time.Time, cfg Config) *Table {
-	return &Table{cfg: cfg, started: now, accounts: make(map[fleet.AccountID]*bucket)}
+func New[K comparable](now time.Time, cfg Config) *Table[K] {
+	return &Table[K]{cfg: cfg, started: now, buckets: make(map[K]*bucket)}
 }
 
 // SetConfig replaces the tolerances.
-func (t *Table) SetConfig(cfg Config) { t.cfg = cfg }
+func (t *Table[K]) SetConfig(cfg Config) { t.cfg = cfg }
+
+// Admit is like Reserve for a request that cannot wait. For a refused request, the
+// duration is the time until a token is available.
+func (t *Table[K]) Admit(now time.Time, key K, limit fleet.Limit, instances int) (bool, time.Duration) {
+	d := t.Reserve(now, key, limit, instances, 0)
+	return d.Admitted, d.Wait
+}
 
-// Admit reports whether a request of the account is within its limit, and if so counts
-// it. instances is the number of instances, which share a limit evenly until demand is
-// known. For a refused request, the duration is the time until a token is available.
-func (t *Table) Admit(now time.Time, id fleet.AccountID, limit fleet.Limit, instances int) (bool, time.Duration) {
+// Reserve decides whether a request that can wait up to maxWait is within the limit of
+// its key, and if so counts it. instances is the number of instances, which share a limit
+// evenly until demand is known.
+func (t *Table[K]) Reserve(now time.Time, key K, limit fleet.Limit, instances int, maxWait time.Duration) Decision {
 	if limit.Unlimited() {
-		return true, 0
+		return Decision{Admitted: true}
 	}
-	b := t.accounts[id]
+	b := t.buckets[key]
 	if b == nil {
 		b = &bucket{lastRefill: now}
-		t.accounts[id] = b
+		t.buckets[key] = b
 	}
 	share := b.limitShare(instances)
 	depth := max(1, float64(limit.Burst)*share+t.cfg.Slack*dividedSlackShare/float64(max(instances, 1)))
@@ -116,16 +134,29 @@
 	if b.demandShare > 0 && now.Sub(t.started) > t.cfg.Window && b.demand+b.othersDemand < overdraftLoadLimit*float64(limit.Rate) {
 		minTokens -= t.overdraft(limit, instances)
 	}
-	if b.tokens < minTokens {
-		return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	if b.tokens >= minTokens {
+		b.tokens--
+		return Decision{Admitted: true}
 	}
-	b.tokens--
-	return true, 0
+	return take(&b.tokens, rate, maxWait)
 }
 
+// take takes a token that is available in at most maxWait from a bucket that is refilled
+// at the given rate.
+func take(tokens *float64, rate float64, maxWait time.Duration) Decision {
+	d := Decision{Wait: max(0, time.Duration((1-*tokens)/rate*float64(time.Second)))}
+	if d.Admitted = d.Wait <= maxWait; d.Admitted {
+		*tokens--
+	}
+	return d
+}
+
+// Forget removes the bucket of a key that has no limit any more.
+func (t *Table[K]) Forget(key K) { delete(t.buckets, key) }
+
 // overdraft returns the number of requests by which this instance may exceed its share
 // of the limit.
-func (t *Table) overdraft(limit fleet.Limit, instances int) float64 {
+func (t *Table[K]) overdraft(limit fleet.Limit, instances int) float64 {
 	tolerated := (float64(limit.Rate)*t.cfg.Window.Seconds() + float64(limit.Burst)) * t.cfg.Overage
 	return min(maxOverdraft, max(sharedOverdraft, tolerated*overdraftToleranceShare)/float64(max(instances, 1)))
 }
@@ -139,29 +170,29 @@
 	return max(b.demandShare, minRelativeShare*even)
 }
 
-// Demand returns the present demand of each account at this instance, in requests per
+// Demand returns the present demand for each key at this instance, in requests per
 // second.
-func (t *Table) Demand(now time.Time) map[fleet.AccountID]float64 {
-	demand := make(map[fleet.AccountID]float64, len(t.accounts))
-	for id, b := range t.accounts {
+func (t *Table[K]) Demand(now time.Time) map[K]float64 {
+	demand := make(map[K]float64, len(t.buckets))
+	for key, b := range t.buckets {
 		d := b.demand * math.Exp2(-max(0, now.Sub(b.lastRefill).Seconds())/demandHalfLife.Seconds())
 		if d > 0.05 {
-			demand[id] = d
+			demand[key] = d
 		}
 	}
 	return demand
 }
 
-// Learn updates the shares from total, the demand of each account at all instances, and
+// Learn updates the shares from total, the demand for each key at all instances, and
 // own, the part of it that this instance contributed. Both are in requests per second.
-func (t *Table) Learn(now time.Time, total, own map[fleet.AccountID]float64, instances int) {
-	for id, sum := range total {
-		b := t.accounts[id]
+func (t *Table[K]) Learn(now time.Time, total, own map[K]float64, instances int) {
+	for key, sum := range total {
+		b := t.buckets[key]
 		if b == nil {
 			b = &bucket{lastRefill: now}
-			t.accounts[id] = b
+			t.buckets[key] = b
 		}
-		b.othersDemand = max(0, sum-own[id])
+		b.othersDemand = max(0, sum-own[key])
 		if sum <= 0 {
 			continue
 		}
@@ -169,6 +200,6 @@
 			b.demandShare, b.demandShareUpdated = 1/float64(max(instances, 1)), now
 		}
 		oldWeight := math.Exp2(-min(now.Sub(b.demandShareUpdated), shareHalfLife).Seconds() / shareHalfLife.Seconds())
-		b.demandShare, b.demandShareUpdated = b.demandShare*oldWeight+min(1, own[id]/sum)*(1-oldWeight), now
+		b.demandShare, b.demandShareUpdated = b.demandShare*oldWeight+min(1, own[key]/sum)*(1-oldWeight), now
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -16,7 +16,7 @@
 // simulation runs several instances that report their demand to each other every 300 ms,
 // unless exchangeInterval is set.
 type simulation struct {
-	tables           []*Table
+	tables           []*Table[fleet.AccountID]
 	now              time.Time
 	admitted         []time.Time
 	refused          int
@@ -28,7 +28,7 @@
 func newSimulation(instances int) *simulation {
 	s := &simulation{now: start}
 	for range instances {
-		s.tables = append(s.tables, New(start.Add(-time.Minute), cfg))
+		s.tables = append(s.tables, New[fleet.AccountID](start.Add(-time.Minute), cfg))
 	}
 	return s
 }
@@ -140,7 +140,7 @@
 	s.run(rng, limit, 125, 10*time.Second, weights)
 	s.run(rng, limit, 900, 4*time.Second, weights)
 	for i := range s.tables {
-		s.tables[i] = New(s.now, cfg)
+		s.tables[i] = New[fleet.AccountID](s.now, cfg)
 	}
 	s.reportingInstances = 3 // the other instances do not report until they know the new leader
 	s.run(rng, limit, 900, time.Second, weights)
@@ -174,7 +174,7 @@
 		s.run(rng, limit, 2200, 4*time.Second, survivors)
 		for i := range s.tables {
 			if i%2 == 0 {
-				s.tables[i] = New(s.now, cfg)
+				s.tables[i] = New[fleet.AccountID](s.now, cfg)
 			}
 		}
 		s.run(rng, limit, 2200, 10*time.Second, weights)
@@ -190,14 +190,14 @@
 func TestSmallLimitOverManyInstances(t *testing.T) {
 	const instances = 70
 	limit := fleet.Limit{Rate: 30, Burst: 30}
-	if Divided(limit, instances) || !Divided(limit, 8) || !Divided(fleet.Limit{}, instances) {
+	if cfg.Divided(limit, instances) || !cfg.Divided(limit, 8) || !cfg.Divided(fleet.Limit{}, instances) {
 		t.Fatal("Divided has changed; the test needs a limit that is not divided among 70 instances")
 	}
 	for seed := range uint64(5) {
 		rng := rand.New(rand.NewPCG(seed, 8))
-		homes := []*Home{NewHome(cfg), NewHome(cfg)}
+		homes := []*Home[fleet.AccountID]{NewHome[fleet.AccountID](cfg), NewHome[fleet.AccountID](cfg)}
 		s := simulation{now: start}
-		send := func(home *Home, rate float64, d time.Duration) {
+		send := func(home *Home[fleet.AccountID], rate float64, d time.Duration) {
 			for end := s.now.Add(d); s.now.Before(end); {
 				s.now = s.now.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 				if ok, _ := home.Admit(s.now, "a", limit); ok {
@@ -222,7 +222,7 @@
 // Guards against a home that refills the same time twice when the time of a request was
 // read before that of an earlier call, for example while it waited for a lock.
 func TestHomeIgnoresEarlierReadings(t *testing.T) {
-	home, admitted := NewHome(cfg), 0
+	home, admitted := NewHome[fleet.AccountID](cfg), 0
 	limit := fleet.Limit{Rate: 4, Burst: 50}
 	for i := range 1000 {
 		now := start
@@ -242,7 +242,7 @@
 // whose time was read before that of an earlier request.
 func TestCountedByHomeIgnoresEarlierReadings(t *testing.T) {
 	limit := fleet.Limit{Rate: 30, Burst: 300}
-	table := New(start.Add(-time.Minute), cfg)
+	table := New[fleet.AccountID](start.Add(-time.Minute), cfg)
 	now := start.Add(10 * time.Second)
 	table.CountedByHome(now, "a", limit)
 	table.CountedByHome(start, "a", limit)
@@ -255,7 +255,7 @@
 // divided again.
 func TestNoBurstAfterHomeCounting(t *testing.T) {
 	limit := fleet.Limit{Rate: 30, Burst: 300}
-	table := New(start.Add(-time.Minute), cfg)
+	table := New[fleet.AccountID](start.Add(-time.Minute), cfg)
 	table.CountedByHome(start, "a", limit)
 	admitted := 0
 	for range 100 {
@@ -276,7 +276,7 @@
 	weights := []int{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}
 	s := newSimulation(len(weights))
 	for i := range s.tables {
-		s.tables[i] = New(s.now, cfg)
+		s.tables[i] = New[fleet.AccountID](s.now, cfg)
 	}
 	s.run(rng, limit, 190, time.Second, weights)
 	if all := len(s.admitted) + s.refused; s.refused*10 > all {
@@ -288,7 +288,7 @@
 // restarts of all instances within a window would then exceed the limit.
 func TestNewHomeAdmitsLittle(t *testing.T) {
 	for _, rate := range []float64{1, 4, 100} {
-		home, admitted := NewHome(cfg), 0
+		home, admitted := NewHome[fleet.AccountID](cfg), 0
 		for range 1000 {
 			if ok, _ := home.Admit(start, "a", fleet.Limit{Rate: fleet.PerSecond(rate), Burst: 50}); ok {
 				admitted++
@@ -299,3 +299,36 @@
 		}
 	}
 }
+
+// Guards against slots that are reserved for the same time, against a reservation later
+// than the request can wait, and against a refusal that states another time than that of
+// the next slot.
+func TestReservations(t *testing.T) {
+	limit := fleet.Limit{Rate: 4}
+	for name, reserve := range map[string]func(now time.Time, maxWait time.Duration) Decision{
+		"home": func() func(time.Time, time.Duration) Decision {
+			home := NewHome[string](Config{Window: 4 * time.Second})
+			return func(now time.Time, maxWait time.Duration) Decision { return home.Reserve(now, "u", limit, maxWait) }
+		}(),
+		"divided": func() func(time.Time, time.Duration) Decision {
+			table := New[string](start, Config{Window: 4 * time.Second})
+			return func(now time.Time, maxWait time.Duration) Decision { return table.Reserve(now, "u", limit, 1, maxWait) }
+		}(),
+	} {
+		var waits []time.Duration
+		for range 4 {
+			d := reserve(start, 800*time.Millisecond)
+			waits = append(waits, d.Wait)
+			if n := len(waits); !d.Admitted || n > 2 && d.Wait-waits[n-2] < 240*time.Millisecond {
+				t.Errorf("%s: request %d: %+v, slots after %v, want them 250 ms apart", name, n, d, waits)
+			}
+		}
+		refused := reserve(start, 100*time.Millisecond)
+		if refused.Admitted || refused.Wait <= waits[3] {
+			t.Errorf("%s: request that can wait for 100 ms: %+v after slots at %v", name, refused, waits)
+		}
+		if d := reserve(start.Add(refused.Wait+time.Millisecond), 0); !d.Admitted || d.Wait > 0 {
+			t.Errorf("%s: request after the time that a refusal stated: %+v", name, d)
+		}
+	}
+}
