http1: a test of responses that are cut off in their heads

It cannot happen here: both clients report a lost response for each place at which a head or body is cut off.

--- a/internal/http1/transport_bounds_test.go
+++ b/internal/http1/transport_bounds_test.go
@@ -258,3 +258,47 @@
 		}
 	}
 }
+
+// Guards against a response whose peer stopped in the middle of its head and closed the
+// connection, and that counts as complete.
+func TestTruncatedHeadIsNoResponse(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\ngood"
+	client, err := NewClient()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	for end := range len(response) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = conn.Write([]byte(response[:end]))
+				}
+				_ = conn.Close()
+			}
+		}()
+		addr := ln.Addr().String()
+		pool := client.NewPool(addr, PoolConfig{})
+		for name, do := range map[string]func(context.Context) (*Response, error){
+			"transport": func(ctx context.Context) (*Response, error) {
+				return NewTransport(TransportConfig{DialTimeout: time.Second, MaxBody: 100}).Do(ctx, addr, &Request{Method: "GET", Target: "/"}, nil)
+			},
+			"pool": func(ctx context.Context) (*Response, error) { return pool.Do(ctx, &Request{Method: "GET", Target: "/"}) },
+		} {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			if res, err := do(ctx); err == nil {
+				t.Errorf("%s: response cut off after %q: status %d, body %q", name, response[:end], res.Status, res.Body)
+			}
+			cancel()
+		}
+		_ = ln.Close()
+	}
+}
