direct: no request is passed on that would be cut off by the instance's stop

It could happen here: an instance passed requests on until the moment of its stop.

A request is not sent, also not once more, if the instance stops before the upstream's usual service time has passed. It is refused with 503 and a time to return; another instance takes it.

--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -160,7 +160,7 @@
 	switch {
 	case a.err != nil && errors.Is(ctx.Err(), context.Canceled):
 		return balance.Abandoned
-	case errors.Is(a.err, errNotAllowed):
+	case errors.Is(a.err, errNotAllowed), errors.Is(a.err, errStopping):
 		return balance.Abandoned
 	case errors.Is(a.err, http1.ErrConnRejected):
 		return balance.Full
@@ -407,6 +407,9 @@
 		if errors.As(a.err, &notSent) {
 			x.arrivals--
 		}
+		if errors.Is(a.err, errStopping) && f.running == 0 {
+			return f.finalFailure(ctx, refuse(http.StatusServiceUnavailable, "instance-stops", retryAfterFull)), true
+		}
 		retry := x.arrivals == 0 || f.r.takeRetry(now, x)
 		if f.running == 0 && (!retry || !f.relaunch(ctx)) {
 			return f.finalFailure(ctx, f.refuseFull(now)), true
@@ -514,6 +517,8 @@
 	switch {
 	case errors.Is(a.err, http1.ErrConnRejected):
 		return refuse(http.StatusServiceUnavailable, "holder-full", retryAfterFull), true
+	case errors.Is(a.err, errStopping):
+		return refuse(http.StatusServiceUnavailable, "instance-stops", retryAfterFull), true
 	case errors.Is(a.err, errNotAllowed):
 		x.arrivals--
 		retry = true
@@ -599,15 +604,22 @@
 	return reason
 }
 
+// errStopping means that this instance stops before an upstream could answer a request.
+var errStopping = errors.New("the instance stops before the upstream could answer")
+
 // errNotAllowed means that an upstream stopped being usable for a request while the
 // request waited for a connection.
 var errNotAllowed = errors.New("the upstream may no longer be sent the request")
 
-// checkSend returns errNotAllowed if x may no longer be sent to upstream.
+// checkSend returns errNotAllowed if x may no longer be sent to upstream, and errStopping
+// if this instance cannot pass the answer on any more.
 func (r *Router) checkSend(now time.Time, x *exchange, upstream *balance.Entry) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	serviceTime := time.Duration(r.upstreams.ServiceTime(now, upstream) * float64(time.Second))
 	switch {
+	case !r.stopAt.IsZero() && now.Add(serviceTime).After(r.stopAt):
+		return errStopping
 	case r.upstreams.Get(upstream.ID) != upstream, now.Before(upstream.PausedUntil()),
 		x.service.Sharded && r.holderEnds(now, upstream) != "",
 		!x.service.Sharded && !r.upstreams.Usable(upstream):
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -59,7 +59,8 @@
 
 	mu           sync.Mutex // guards the fields below
 	rng          *rand.Rand
-	lastSettings Settings // settings as last read
+	lastSettings Settings  // settings as last read
+	stopAt       time.Time // when requests in progress are cut off; zero unless the instance shuts down
 
 	// State for decisions on requests.
 	upstreams        *balance.Table
@@ -219,6 +220,7 @@
 	r.ready.Store(false)
 	r.mu.Lock()
 	grace := r.cfg.ShutdownGrace
+	r.stopAt = start.Add(grace - exitMargin)
 	r.mu.Unlock()
 	r.log.Info("instance shutting down", "grace", grace)
 	callers.Drain()
