soak: upstreams name limits while processes, store and links fail

The soak sent no Server-Limit. It now lets upstreams name limits of 1 to 3 requests/s for 5 to 9 s, also while the leader, the store and links fail, and checks the platform's rule: 1.5 times the limit and 5 requests in 4 s, from instances that had passed on such an answer without a disturbance since.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -117,6 +117,7 @@
 		}
 	}
 	violations = append(violations, env.checkFences()...)
+	violations = append(violations, env.checkNamedLimits(byID)...)
 	return append(violations, env.checkRateLimits()...)
 }
 
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -338,6 +338,9 @@
 	env.logFault("crash %s for %v", u.ID(), d)
 	u.mu.Lock()
 	u.down = true
+	if u.limit != nil {
+		u.limit.end, u.limit = time.Now(), nil
+	}
 	u.mu.Unlock()
 	u.Crash()
 	scheduleFunc(g, d, func() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,6 +121,7 @@
 		pool.run(seed, stop)
 		close(callersDone)
 	}()
+	go env.injectLimits(rand.New(rand.NewPCG(seed, 3)), *faultDuration-maxLimitDuration)
 	restored := make(chan struct{})
 	go func() {
 		defer close(restored)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -47,6 +47,7 @@
 	upstreamCount     int // upstreams ever added; numbers their ids
 	config            config
 	storeDisturbances []disturbance
+	limits            []*namedLimit          // that upstreams named
 	copies            []storeCopy            // of the store, in the order of their times
 	thawedAt          []time.Time            // when paused processes continued
 	healedAt          map[string][]time.Time // when faults of the relay's routes ended, by route
@@ -102,7 +103,8 @@
 	mu       sync.Mutex
 	down     bool
 	draining bool
-	leftAt   time.Time // when the store acknowledged the leave; zero: not leaving
+	leftAt   time.Time   // when the store acknowledged the leave; zero: not leaving
+	limit    *namedLimit // that the run names; nil: none
 }
 
 // logFault appends an event to the fault log, with the time since the start of the run.
