direct, balance: limits of runs that are gone are forgotten; one count by service

A run whose registration is gone kept its entry in the log of limits and its buckets for as long as the instance ran. gofumpt of a new test.

--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -150,11 +150,16 @@
 // LeavingByAnswer returns the number of upstreams of each service of which SaidLeaving
 // was called, including zeros.
 func (t *Table) LeavingByAnswer() map[fleet.ServiceID]int {
+	return t.count(func(e *Entry) bool { return e.saidLeaving })
+}
+
+// count returns the number of upstreams of each service for which f reports true.
+func (t *Table) count(f func(*Entry) bool) map[fleet.ServiceID]int {
 	out := make(map[fleet.ServiceID]int, len(t.byService))
 	for id, entries := range t.byService {
 		out[id] = 0
 		for _, e := range entries {
-			if e.saidLeaving {
+			if f(e) {
 				out[id]++
 			}
 		}
--- a/internal/balance/limited.go
+++ b/internal/balance/limited.go
@@ -122,25 +122,5 @@
 // LimitedUpstreams returns the number of upstreams of each service that name a limit,
 // including zeros.
 func (t *Table) LimitedUpstreams() map[fleet.ServiceID]int {
-	out := make(map[fleet.ServiceID]int, len(t.byService))
-	for id, entries := range t.byService {
-		out[id] = 0
-		for _, e := range entries {
-			if e.limit.rate > 0 {
-				out[id]++
-			}
-		}
-	}
-	return out
-}
-
-// RunLimits returns the limits of all runs that name or have named one.
-func (t *Table) RunLimits(now time.Time) []RunLimit {
-	var list []RunLimit
-	for _, e := range t.entries {
-		if !e.limit.at.IsZero() {
-			list = append(list, e.RunLimit(now))
-		}
-	}
-	return list
+	return t.count(func(e *Entry) bool { return e.limit.rate > 0 })
 }
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -366,6 +366,7 @@
 	r.mu.Lock()
 	list = r.adjustList(now, r.upstreams.KeepDraining(list))
 	changes := r.upstreams.Replace(now, list)
+	r.pruneLimits()
 	r.setListedAt(requestedAt)
 	if r.leaderList.update(now, list) {
 		r.wakeReports()
--- a/internal/direct/limits.go
+++ b/internal/direct/limits.go
@@ -141,11 +141,7 @@
 func (r *Router) limitsSince(now time.Time, seq uint64) ([]balance.RunLimit, uint64) {
 	var limits []balance.RunLimit
 	for run, c := range r.limitLog.changes {
-		upstream := r.upstreams.GetRun(run)
-		switch {
-		case upstream == nil:
-			delete(r.limitLog.changes, run)
-		case c.seq > seq:
+		if upstream := r.upstreams.GetRun(run); upstream != nil && c.seq > seq {
 			limits = append(limits, upstream.RunLimit(now))
 		}
 	}
@@ -165,6 +161,17 @@
 	return limits
 }
 
+// pruneLimits forgets the limits of runs that are not listed any more. The caller must hold
+// mu.
+func (r *Router) pruneLimits() {
+	for run := range r.limitLog.changes {
+		if r.upstreams.GetRun(run) == nil {
+			delete(r.limitLog.changes, run)
+			r.upstreamLimits.forget(run)
+		}
+	}
+}
+
 // admitSend decides whether the limit that upstream names, if any, lets x be sent there
 // after at most maxWait, and if so counts the request.
 func (r *Router) admitSend(ctx context.Context, now time.Time, x *exchange, upstream *balance.Entry, maxWait time.Duration) quota.Decision {
--- a/internal/http1/transport_bounds_test.go
+++ b/internal/http1/transport_bounds_test.go
@@ -291,7 +291,9 @@
 			"transport": func(ctx context.Context) (*Response, error) {
 				return NewTransport(TransportConfig{DialTimeout: time.Second, MaxBody: 100}).Do(ctx, addr, &Request{Method: "GET", Target: "/"}, nil)
 			},
-			"pool": func(ctx context.Context) (*Response, error) { return pool.Do(ctx, &Request{Method: "GET", Target: "/"}) },
+			"pool": func(ctx context.Context) (*Response, error) {
+				return pool.Do(ctx, &Request{Method: "GET", Target: "/"})
+			},
 		} {
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			if res, err := do(ctx); err == nil {
