direct: the holder of a key that leaves is used for at most 0.9 s after the news

Both bounds hold now: 0.9 s after the news, and 0.3 s before the platform's, counted from the last list that showed the holder ready. TestHolderUseCountsFromEarliestLeave checks both; its case of an answer failed before.

--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -203,6 +203,9 @@
 // Leaving reports whether e leaves, by its registration or by its own answers.
 func (e *Entry) Leaving() bool { return e.Draining || e.saidLeaving }
 
+// LeavingSince returns when this instance learned that e leaves, or the zero time.
+func (e *Entry) LeavingSince() time.Time { return e.leavingSince }
+
 // LeavingNotBefore returns the earliest time at which e may have started to leave, or the
 // zero time if it is not known to leave. Bounds on its use count from this time, since the
 // news may have been late.
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -24,6 +24,9 @@
 	// check that it may be sent there. It covers an instance that has used up its share of
 	// a core and does not run for a while.
 	sendMargin = 300 * time.Millisecond
+	// leavingHolderUse is how long the holder of a key still receives requests after this
+	// instance learned that it leaves. Its keys move within that time.
+	leavingHolderUse = 900 * time.Millisecond
 	// evacuatedHolderUse is how long the holder of a key in an evacuated zone still receives
 	// requests after the evacuation may have begun. Requests must stop within 5 s.
 	evacuatedHolderUse = 2500 * time.Millisecond
@@ -595,7 +598,7 @@
 // holderEnds returns the reason why the holder of a key receives no requests any more,
 // although its keys have not been moved yet, or "". The caller must hold mu.
 func (r *Router) holderEnds(now time.Time, upstream *balance.Entry) (reason string) {
-	if upstream.Leaving() && now.Sub(upstream.LeavingNotBefore()) >= r.cfg.LeavingUse-sendMargin {
+	if upstream.Leaving() && (now.Sub(upstream.LeavingSince()) >= leavingHolderUse || now.Sub(upstream.LeavingNotBefore()) >= r.cfg.LeavingUse-sendMargin) {
 		reason = "holder-leaves"
 	}
 	if since, evacuated := r.evacuatedSince[upstream.Zone]; evacuated && now.Sub(since) >= evacuatedHolderUse {
--- a/internal/direct/leaving_use_test.go
+++ b/internal/direct/leaving_use_test.go
@@ -70,24 +70,27 @@
 func TestHolderUseCountsFromEarliestLeave(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	for name, learn := range map[string]func(*Router, balance.Registration){
-		"late list": func(r *Router, registration balance.Registration) {
+	for name, c := range map[string]struct {
+		learn func(*Router, balance.Registration)
+		times []int // in ms; the holder may be used at the first one only
+	}{
+		"late list": {func(r *Router, registration balance.Registration) {
 			registration.Draining = true
 			r.setUpstreams(at(2100), at(1600), []balance.Registration{registration})
-		},
-		"answer": func(r *Router, _ balance.Registration) {
+		}, []int{2150, 2250, 2500, 2900}},
+		"answer": {func(r *Router, _ balance.Registration) {
 			r.noteLeaving(at(0), r.upstreams.Get("u"), "r1", "answer")
-		},
+		}, []int{850, 950, 1500, 2250}},
 	} {
 		r, x, registration := holdingRouter(t, at(0), "1.2.3.4:5")
-		learn(r, registration)
+		c.learn(r, registration)
 		var got []string
-		for _, ms := range []int{2150, 2250, 2500, 2900} {
+		for _, ms := range c.times {
 			_, reason, _ := r.chooseHolder(at(ms), x)
 			got = append(got, reason)
 		}
 		if diff := cmp.Diff([]string{"", "holder-leaves", "holder-leaves", "holder-leaves"}, got); diff != "" {
-			t.Errorf("%s: reasons against the use of the holder after 2.15, 2.25, 2.5 and 2.9 s: %s", name, diff)
+			t.Errorf("%s: reasons against the use of the holder after %v ms: %s", name, c.times, diff)
 		}
 	}
 }
