balance: a failure does not make an old service time count as fresh

One time stamp dated both the failure rate and the service time. Samples from other instances refreshed an old failure rate in the same way. Each has a time stamp of its own now.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -104,7 +104,8 @@
 	longMeanTime         float64 // seconds, without queueing but with slowdowns, over more answers; 0 if unknown
 	longMeanAnswers      int     // included in longMeanTime
 	failureRate          float64 // share of answers, from 0 to 1
-	lastLearned          time.Time
+	failureRateUpdated   time.Time
+	lastLearned          time.Time // last update of the service time
 	load                 Load
 	othersInFlight       float64 // requests of other instances in the last reported load
 	loadReported         time.Time
@@ -364,7 +365,7 @@
 	// The service time rises a little with the number of used slots. The term also spreads
 	// requests over upstreams with free slots.
 	seconds := serviceTime*(1+0.3*min(1, ahead/slots)) + wait
-	seconds += failureCost * target * e.failureRate * decay(now.Sub(e.lastLearned), evidenceHalfLife)
+	seconds += failureCost * target * e.failureRate * decay(now.Sub(e.failureRateUpdated), evidenceHalfLife)
 	if e.InFlight > 0 && now.Sub(e.lastProgress).Seconds() > stalledTimeFactor*serviceTime {
 		seconds += target
 	}
@@ -454,9 +455,9 @@
 }
 
 func (t *Table) updateFailureRate(now time.Time, e *Entry, failed float64) {
-	oldWeight := decay(now.Sub(e.lastLearned), evidenceHalfLife)
+	oldWeight := decay(now.Sub(e.failureRateUpdated), evidenceHalfLife)
 	e.failureRate = e.failureRate*oldWeight*(1-failureRateWeight) + failed*failureRateWeight
-	e.lastLearned = now
+	e.failureRateUpdated = now
 }
 
 func decay(age, halfLife time.Duration) float64 {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -385,3 +385,21 @@
 		}
 	}
 }
+
+// Guards against a failure that makes an old estimate of the service time count as fresh,
+// although it brings no new one.
+func TestFailureDoesNotRefreshServiceTime(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	table := New("i1", rand.New(rand.NewPCG(1, 2)), func(fleet.ServiceID) (time.Duration, fleet.PerSecond) { return 0, 0 })
+	table.Replace(start, []Registration{{ID: "slow", Service: "s", Slots: 6}, {ID: "usual", Service: "s", Slots: 6}})
+	for range 20 {
+		table.Ended(start, table.Get("slow"), Answered, 800*time.Millisecond, nil)
+		table.Ended(start, table.Get("usual"), Answered, 100*time.Millisecond, nil)
+	}
+	now := start.Add(time.Minute)
+	before := table.ServiceTime(now, table.Get("slow"))
+	table.Ended(now, table.Get("slow"), Failed, 5*time.Millisecond, nil)
+	if after := table.ServiceTime(now, table.Get("slow")); after != before {
+		t.Errorf("service time %.3f s before a failure, %.3f s after it", before, after)
+	}
+}
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -47,6 +47,7 @@
 		seconds /= load.Slowdown // caused by other load on the upstream's machine, and short-lived
 	}
 	t.updateShortMeans(now, e, seconds, shortMeanWeight)
+	e.lastLearned = now
 }
 
 // updateLongMean adds n answers with a mean service time in seconds to the long mean of
