--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -39,16 +39,22 @@
 		}
 		return nil
 	}
+	var q Query
+	var err error
 	switch kind := v.Get("kind"); kind {
 	case "key":
-		return KeyQuery{fleet.ServiceID(v.Get("service")), fleet.RoutingKey(v.Get("key"))}, requireParams("service", "key")
+		q, err = KeyQuery{fleet.ServiceID(v.Get("service")), fleet.RoutingKey(v.Get("key"))}, requireParams("service", "key")
 	case "request":
-		return RequestQuery{fleet.RequestID(v.Get("id"))}, requireParams("id")
+		q, err = RequestQuery{fleet.RequestID(v.Get("id"))}, requireParams("id")
 	case "account":
-		return AccountQuery{fleet.AccountID(v.Get("id"))}, requireParams("id")
+		q, err = AccountQuery{fleet.AccountID(v.Get("id"))}, requireParams("id")
 	default:
-		return nil, errors.Errorf("parameter kind %q: want key, request or account", kind)
+		err = errors.Errorf("parameter kind %q: want key, request or account", kind)
 	}
+	if err != nil {
+		return nil, err
+	}
+	return q, nil
 }
 
 // Encode writes the explanation as JSON.
