soak: overlapping faults of the store or of a link do not end each other

The end of a fault of the store, or of a link, ended a later one that had replaced it, so that faults were shorter than logged. The last fault now lasts until its own end, and each run of a process has a network of its own.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -75,17 +75,16 @@
 	}
 	paused := rng.IntN(2) == 0 // leases pause meanwhile
 	env.recordStoreDisturbance(away + max(maxRewriteDelay, heartbeatInterval))
-	env.store.FreezeLeases(paused)
-	env.store.SetFault(func(string) standin.Fault { return fault })
+	end := env.beginStoreFault(paused, func(string) standin.Fault { return fault })
 	time.Sleep(away)
 	c, found := env.anyCopy(rng)
 	if !found {
+		end()
 		return
 	}
 	lost := env.store.Restore(c.Copy)
 	env.logFault("store: restored after %v away, from a copy of %.2f s, %v old", away, c.takenAt.Sub(env.startedAt).Seconds(), time.Since(c.takenAt).Round(time.Millisecond))
-	env.store.SetFault(nil)
-	env.store.FreezeLeases(false)
+	end()
 	for _, w := range lost {
 		if w.TTL == 0 {
 			scheduleFunc(g, time.Duration(rng.Int64N(int64(maxRewriteDelay))), func() { env.store.Repeat(w) })
@@ -231,28 +230,45 @@
 	}
 	env.recordStoreDisturbance(d)
 	env.logFault("store: %s for %v", name, d)
+	fault := standin.Fault{}
 	switch name {
 	case "down":
-		env.store.FreezeLeases(rate < 0.5)
-		env.store.SetFault(func(string) standin.Fault { return standin.Fault{NoResponse: true} })
+		scheduleFunc(g, d, env.beginStoreFault(rate < 0.5, func(string) standin.Fault { return standin.Fault{NoResponse: true} }))
+		return
 	case "answers 503":
-		env.store.SetFault(sometimes(standin.Fault{Status: 503}))
+		fault.Status = 503
 	case "answers 429":
-		env.store.SetFault(sometimes(standin.Fault{Status: 429}))
+		fault.Status = 429
 	case "slow":
-		env.store.SetFault(sometimes(standin.Fault{Delay: 300 * time.Millisecond}))
+		fault.Delay = 300 * time.Millisecond
 	case "drops responses":
-		env.store.SetFault(sometimes(standin.Fault{DropResponse: true}))
+		fault.DropResponse = true
 	case "late":
-		env.store.SetFault(sometimes(standin.Fault{ExecuteAfter: env.randomDuration(time.Second, 4*time.Second)}))
+		fault.ExecuteAfter = env.randomDuration(time.Second, 4*time.Second)
 	case "drops history":
 		env.store.DropHistory()
 		return
 	}
-	scheduleFunc(g, d, func() {
-		env.store.SetFault(nil)
-		env.store.FreezeLeases(false)
-	})
+	scheduleFunc(g, d, env.beginStoreFault(false, sometimes(fault)))
+}
+
+// beginStoreFault sets a fault of the store, in place of one that has not ended. end ends
+// it, unless another one has replaced it.
+func (env *testEnv) beginStoreFault(freezeLeases bool, fault func(string) standin.Fault) (end func()) {
+	env.faultMu.Lock()
+	defer env.faultMu.Unlock()
+	env.storeFaults++
+	n := env.storeFaults
+	env.store.FreezeLeases(freezeLeases)
+	env.store.SetFault(fault)
+	return func() {
+		env.faultMu.Lock()
+		defer env.faultMu.Unlock()
+		if env.storeFaults == n {
+			env.store.SetFault(nil)
+			env.store.FreezeLeases(false)
+		}
+	}
 }
 
 // linkFaults are the faults that are injected into links. ModeHold is left out, because it
@@ -271,10 +287,19 @@
 func (env *testEnv) injectLinkFault(g *sync.WaitGroup, route string, d time.Duration) {
 	fault := linkFaults[env.rng.IntN(len(linkFaults))]
 	env.logFault("link %s: %s %s for %v", route, fault.Mode, fault.Direction, d)
+	env.faultMu.Lock()
+	defer env.faultMu.Unlock()
+	env.linkFaults[route]++
+	n := env.linkFaults[route]
 	if err := env.relays.SetFault(route, fault); err != nil {
 		env.t.Error(err)
 	}
 	scheduleFunc(g, d, func() {
+		env.faultMu.Lock()
+		defer env.faultMu.Unlock()
+		if env.linkFaults[route] != n {
+			return // another fault has replaced this one
+		}
 		env.recordHeal(route)
 		if err := env.relays.SetFault(route, relay.Fault{Mode: relay.ModeOK}); err != nil {
 			env.t.Error(err)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -42,6 +43,10 @@
 	grants     *standin.GrantLog // of all upstreams that hold keys
 	startedAt  time.Time
 
+	faultMu     sync.Mutex
+	storeFaults int            // faults of the store ever begun
+	linkFaults  map[string]int // faults ever begun, by route
+
 	mu                sync.Mutex
 	upstreams         []*upstream
 	upstreamCount     int // upstreams ever added; numbers their ids
@@ -114,10 +119,14 @@
 	env.faultLog = append(env.faultLog, fmt.Sprintf("%6.2f s  ", time.Since(env.startedAt).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// runsStarted counts the runs of this process. Runs at the same time have different
+// networks, whatever their seeds.
+var runsStarted atomic.Int32
+
 // newTestEnv starts the store, the relay, 8 upstreams of 2 services and count instances.
 func newTestEnv(t *testing.T, seed uint64, count int) *testEnv {
 	t.Helper()
-	env := &testEnv{t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: t.TempDir(), startedAt: time.Now(), executions: newExecutionLog(), grants: standin.NewGrantLog(), healedAt: make(map[string][]time.Time)}
+	env := &testEnv{t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: t.TempDir(), startedAt: time.Now(), executions: newExecutionLog(), grants: standin.NewGrantLog(), healedAt: make(map[string][]time.Time), linkFaults: make(map[string]int)}
 	var err error
 	if env.store, err = standin.StartStore("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -130,7 +139,7 @@
 	// Each run has a loopback network of its own, and each instance an address in it,
 	// because all instances use the same ports. Upstreams listen in it because a port of
 	// 127.0.0.1 can be taken by any connection while an upstream is down.
-	env.network = fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, seed%250)
+	env.network = fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, runsStarted.Add(1)%250)
 	env.config = initialConfig()
 	env.store.Put("op/config", env.config.encode())
 	for i := range 8 {
