--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -91,7 +91,7 @@
 type Entry struct {
 	Registration
 	InFlight         int       // requests of this instance
-	leavingSince     time.Time // when this instance learned that the upstream leaves; zero if it does not
+	leavingSince     time.Time // when this instance detected that the upstream leaves; zero if it does not
 	leavingNotBefore time.Time // when it was last known not to leave, at or before leavingSince
 	lastSent         time.Time // start of the last request
 	pausedUntil      time.Time // the upstream wants no requests before
@@ -147,7 +147,7 @@
 	ID   fleet.UpstreamID
 	Kind string // "new", "restarted", "draining" or "gone"
 	// LearnedAfter is the time from the earliest moment at which an upstream may have
-	// started to leave until this instance learned it. Of an upstream that is gone,
+	// started to leave until this instance detected it. Of an upstream that is gone,
 	// UsedFor is the time from that moment to the last request of this instance.
 	LearnedAfter, UsedFor time.Duration
 }
--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -32,8 +32,8 @@
 // list shows as leaving, or lacks, cannot have left earlier.
 func (t *Table) SetListedAt(at time.Time) { t.listedAt = at }
 
-// noteLeaves records that this instance has learned at now that e leaves, and that it did
-// not leave before notBefore, unless it knew already. A zero notBefore is unknown.
+// noteLeaves records that e leaves, as detected at now, and did not leave before notBefore,
+// unless that is recorded already. A zero notBefore is unknown.
 func (t *Table) noteLeaves(now time.Time, e *Entry, notBefore time.Time) {
 	if !e.leavingSince.IsZero() {
 		return
@@ -203,10 +203,10 @@
 // Leaving reports whether e leaves, by its registration or by its own answers.
 func (e *Entry) Leaving() bool { return e.Draining || e.saidLeaving }
 
-// LeavingSince returns when this instance learned that e leaves, or the zero time.
+// LeavingSince returns when this instance detected that e leaves, or the zero time.
 func (e *Entry) LeavingSince() time.Time { return e.leavingSince }
 
 // LeavingNotBefore returns the earliest time at which e may have started to leave, or the
-// zero time if it is not known to leave. Bounds on its use count from this time, since the
-// news may have been late.
+// zero time if it does not leave. Bounds on its use count from this time, since the
+// registration or answer may have arrived late.
 func (e *Entry) LeavingNotBefore() time.Time { return e.leavingNotBefore }
--- a/internal/balance/limited.go
+++ b/internal/balance/limited.go
@@ -6,19 +6,20 @@
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
-// NamedLimit is what an answer says about the request rate that its upstream takes from
-// all instances together.
+// NamedLimit is the request rate that an answer states its upstream to accept from all
+// instances together.
 type NamedLimit struct {
 	Named   bool
 	Rate    fleet.PerSecond // valid if Named
 	Invalid bool            // a value could not be read or is out of range, or several differed
 }
 
+// Bounds of the effect of a named limit.
 const (
-	// MinNamedLimit and MaxNamedLimit bound the effect of a named limit. With a lower one,
-	// hardly any answer could show that the upstream no longer names it; no upstream
-	// reaches a higher one.
+	// MinNamedLimit is the lowest limit. With a lower one, hardly any answer could show
+	// that the upstream no longer names it.
 	MinNamedLimit fleet.PerSecond = 0.25
+	// MaxNamedLimit is the highest limit, which no upstream reaches.
 	MaxNamedLimit fleet.PerSecond = 1e6
 )
 
@@ -31,7 +32,7 @@
 	takesAgainAt time.Time
 }
 
-// RunLimit is the limit of a run, as instances tell each other.
+// RunLimit is the limit of a run in messages between instances.
 type RunLimit struct {
 	Run  Run
 	Rate fleet.PerSecond // 0: the run names no limit any more
@@ -41,12 +42,12 @@
 // LimitRate returns the rate that e names as its limit for all instances together, or 0.
 func (e *Entry) LimitRate() fleet.PerSecond { return e.limit.rate }
 
-// RunLimit returns the limit of e as it is told to other instances.
+// RunLimit returns the limit of e for a message to another instance.
 func (e *Entry) RunLimit(now time.Time) RunLimit {
 	return RunLimit{Run: e.run(), Rate: e.limit.rate, Age: max(0, now.Sub(e.limit.at))}
 }
 
-// NoteLimit records what an answer of e to a request sent at sentAt says of its limit. ran
+// NoteLimit records the limit in an answer of e to a request sent at sentAt. ran
 // states that the upstream has run the request: only such an answer without a limit ends
 // one, and only if the request was sent after the limit was last named, since answers
 // overtake each other. It reports whether the limit has changed.
@@ -60,9 +61,9 @@
 	return e.setLimit(now, 0)
 }
 
-// LearnLimit records the limit of a run as another instance states it, if it is newer than
-// what this instance knows. It reports whether the limit has changed.
-func (t *Table) LearnLimit(now time.Time, l RunLimit) bool {
+// MergeLimit records the limit of a run that another instance has reported, if it is newer
+// than the recorded one. It reports whether the limit has changed.
+func (t *Table) MergeLimit(now time.Time, l RunLimit) bool {
 	e, at := t.GetRun(l.Run), now.Add(-max(0, l.Age))
 	if e == nil || !at.After(e.limit.at) || !(l.Rate >= 0) || l.Rate > MaxNamedLimit {
 		return false
@@ -92,7 +93,7 @@
 
 // The reasons.
 const (
-	Paused       HoldBack = iota // it has asked for a pause
+	Paused       HoldBack = iota // it has requested a pause
 	LimitReached                 // the limit that it names has no slot
 )
 
--- a/internal/balance/limited_test.go
+++ b/internal/balance/limited_test.go
@@ -20,7 +20,7 @@
 		return func(t *Table) { t.NoteLimit(at(now), at(sentAt), t.Get("u"), l, ran) }
 	}
 	told := func(now int, rate fleet.PerSecond, age time.Duration) func(*Table) {
-		return func(t *Table) { t.LearnLimit(at(now), RunLimit{Run: run, Rate: rate, Age: age}) }
+		return func(t *Table) { t.MergeLimit(at(now), RunLimit{Run: run, Rate: rate, Age: age}) }
 	}
 	named := answer(10, 5, NamedLimit{Named: true, Rate: 4}, true)
 	for name, c := range map[string]struct {
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -25,7 +25,7 @@
 	// a core and does not run for a while.
 	sendMargin = 300 * time.Millisecond
 	// leavingHolderUse is how long the holder of a key still receives requests after this
-	// instance learned that it leaves. Its keys move within that time.
+	// instance detected that it leaves. Its keys move within that time.
 	leavingHolderUse = 900 * time.Millisecond
 	// evacuatedHolderUse is how long the holder of a key in an evacuated zone still receives
 	// requests after the evacuation may have begun. Requests must stop within 5 s.
@@ -109,8 +109,8 @@
 	r.mu.Lock()
 	changed, run := r.upstreams.SaidLeaving(now, upstream), upstream.Registration
 	if changed {
-		close(r.newsSaid)
-		r.newsSaid = make(chan struct{})
+		close(r.newsReady)
+		r.newsReady = make(chan struct{})
 	}
 	r.mu.Unlock()
 	if changed {
--- a/internal/direct/homes.go
+++ b/internal/direct/homes.go
@@ -25,7 +25,7 @@
 	// homeRetryDelay is the time for which a home that did not answer is not asked
 	// again.
 	homeRetryDelay = 400 * time.Millisecond
-	// homesPerKey is the number of instances that are asked for a token, in the order of
+	// homesPerKey is the number of instances that may get a claim, in the order of
 	// the rendezvous hashes of the limit's key. An instance that is restarting stays in the
 	// list of instances for memberTimeout.
 	homesPerKey = 2
@@ -50,7 +50,7 @@
 	logFailure func(home fleet.InstanceID, c claim[K], err error)
 }
 
-// claim asks whether a request that can wait up to maxWait is within a limit.
+// claim is a request for a token under a limit, available in at most maxWait.
 type claim[K comparable] struct {
 	key     K
 	limit   fleet.Limit
@@ -97,7 +97,7 @@
 	r.mu.Unlock()
 	for _, home := range homes {
 		if home.ID == r.cfg.Instance {
-			continue // other instances ask the first home; counting here too would admit more
+			continue // other instances use the first home; counting here too would admit more
 		}
 		d, err := l.request(ctx, home, c)
 		r.mu.Lock()
@@ -118,7 +118,7 @@
 }
 
 // availableHomes returns the instances that may count the requests under the limit of
-// key, in the order in which they are to be asked: those with the highest rendezvous
+// key, in the order in which claims are sent to them: those with the highest rendezvous
 // hashes, without those that recently failed to answer. The caller must hold mu.
 func (l *limiter[K]) availableHomes(now time.Time, r *Router, key K) []fleet.Peer {
 	homes, known := l.homes[key]
@@ -167,8 +167,8 @@
 	r.log.Info("account home did not answer", "request", c.id, "account", c.key, "home", home, "error", err)
 }
 
-// requestToken requests a token from a home of the account. The home knows the limit, and
-// such requests do not wait.
+// requestToken requests a token from a home of the account, which has the account's limit
+// from the configuration. Requests under such a limit do not wait.
 func (r *Router) requestToken(ctx context.Context, home fleet.Peer, c claim[fleet.AccountID]) (quota.Decision, error) {
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
 	defer cancel()
--- a/internal/direct/limits.go
+++ b/internal/direct/limits.go
@@ -15,28 +15,29 @@
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
-// An upstream in need names, in its answers, the request rate that it takes from all
-// instances together. The instance that gets such an answer reports it to the leader, whose
-// replies tell the others. The requests under a limit are counted as those of a client
-// account are (homes.go): by one instance, or, for a high limit, by each for an even part.
+// An overloaded upstream names, in its answers, the request rate that it accepts from all
+// instances together. An instance that receives such an answer reports it to the leader,
+// whose replies contain it for the others. The requests under a limit are counted like those
+// of a client account (homes.go): by one instance, or, for a high limit, by each for an even
+// part.
 
 const (
 	upstreamTokensPath = "/upstream-tokens"
 	// namedBurstTime sets the burst of a named limit: as many requests as it allows in this
 	// time. They serve requests that arrive together after a moment without any.
 	namedBurstTime = 250 * time.Millisecond
-	// significantLimitChange is the relative change of a limit from which it is told to
+	// significantLimitChange is the relative change of a limit from which it is sent to
 	// other instances. An upstream may name a slightly different one in each answer.
 	significantLimitChange = 0.05
-	// newsInterval is the shortest time between two reports to the leader of what upstreams
-	// have said.
+	// newsInterval is the shortest time between two reports to the leader of leaving and
+	// limited upstreams.
 	newsInterval = 100 * time.Millisecond
 	// maxLimitTries bounds the upstreams at which a request tries to reserve a slot.
 	maxLimitTries = 3
 )
 
-// upstreamTolerance is the tolerance of named limits. Even a new home, which may not know
-// what another one has admitted, stays within half of the limit above it. Requests to a
+// upstreamTolerance is the tolerance of named limits. Even a new home, which has no record
+// of the requests that another one has admitted, stays within half of the limit above it. Requests to a
 // limited upstream are few, so that they are counted by homes unless the limit is high.
 var upstreamTolerance = quota.Config{Window: 4 * time.Second, Overage: 0.5, Slack: 5, MinDividedRate: 25}
 
@@ -50,8 +51,8 @@
 	return fleet.Limit{Rate: rate, Burst: fleet.Tokens(float64(rate) * namedBurstTime.Seconds())}
 }
 
-// noteLimit records what the answer of an upstream to a request sent at sentAt says of its
-// limit. ran states that the upstream has run the request; source is the kind of the
+// noteLimit records the limit in the answer of an upstream to a request sent at sentAt. ran
+// states that the upstream has run the request; source is the kind of the
 // answer, and id the request that it answers, if any.
 func (r *Router) noteLimit(now, sentAt time.Time, upstream *balance.Entry, l balance.NamedLimit, ran bool, id fleet.RequestID, source string) {
 	invalid := l.Invalid || l.Named && (l.Rate < balance.MinNamedLimit || l.Rate > balance.MaxNamedLimit)
@@ -78,11 +79,11 @@
 	}
 }
 
-// learnLimits records the limits of upstreams that another instance has stated.
-func (r *Router) learnLimits(now time.Time, limits []balance.RunLimit, source string) {
+// mergeLimits records the limits of upstreams that another instance has reported.
+func (r *Router) mergeLimits(now time.Time, limits []balance.RunLimit, source string) {
 	for _, l := range limits {
 		r.mu.Lock()
-		changed := r.upstreams.LearnLimit(now, l)
+		changed := r.upstreams.MergeLimit(now, l)
 		if changed {
 			r.limitChanged(now, r.upstreams.GetRun(l.Run), false)
 		}
@@ -93,9 +94,8 @@
 	}
 }
 
-// limitChanged makes a changed limit count at this instance, and lets it be told to the
-// others. own states that the upstream has named it to this instance. The caller must hold
-// mu.
+// limitChanged applies a changed limit at this instance and queues it for the others. own
+// states that the limit is from an answer to this instance. The caller must hold mu.
 func (r *Router) limitChanged(now time.Time, upstream *balance.Entry, own bool) {
 	l := upstream.RunLimit(now)
 	if l.Rate == 0 {
@@ -104,8 +104,8 @@
 		r.upstreamLimits.fallback.CountedByHome(now, l.Run, namedLimit(l.Rate))
 	}
 	if r.limitLog.update(l, own) && own {
-		close(r.newsSaid)
-		r.newsSaid = make(chan struct{})
+		close(r.newsReady)
+		r.newsReady = make(chan struct{})
 	}
 }
 
@@ -118,7 +118,7 @@
 
 type limitChange struct {
 	rate fleet.PerSecond // 0: the limit has ended
-	own  bool            // the upstream has named it to this instance
+	own  bool            // from an answer to this instance
 	seq  uint64          // version of the change
 }
 
@@ -148,14 +148,14 @@
 	return limits, r.limitLog.seq
 }
 
-// ownLimits returns the limits that upstreams have named to this instance and that told
-// does not contain. The caller must hold mu.
-func (r *Router) ownLimits(now time.Time, told map[balance.Run]uint64) []balance.RunLimit {
+// ownLimits returns the limits from answers to this instance whose versions reported does
+// not contain, and adds them to it. The caller must hold mu.
+func (r *Router) ownLimits(now time.Time, reported map[balance.Run]uint64) []balance.RunLimit {
 	var limits []balance.RunLimit
 	for run, c := range r.limitLog.changes {
-		if upstream := r.upstreams.GetRun(run); upstream != nil && c.own && told[run] != c.seq {
+		if upstream := r.upstreams.GetRun(run); upstream != nil && c.own && reported[run] != c.seq {
 			limits = append(limits, upstream.RunLimit(now))
-			told[run] = c.seq
+			reported[run] = c.seq
 		}
 	}
 	return limits
@@ -208,22 +208,21 @@
 	r.log.Info("upstream home did not answer", "request", c.id, "upstream", c.key.ID, "home", home, "error", err)
 }
 
-// upstreamClaim is the message by which an instance asks the home of a run whether a
-// request is within the run's limit.
+// upstreamClaim is the message with a claim to the home of a run.
 type upstreamClaim struct {
 	limit   balance.RunLimit
 	maxWait time.Duration
 }
 
-// upstreamDecision is the answer to an upstreamClaim. limit is the limit of the run as the
-// home knows it, and has no run.
+// upstreamDecision is the answer to an upstreamClaim. limit is the limit of the run that the
+// home has recorded, without the run.
 type upstreamDecision struct {
 	decision quota.Decision
 	limit    balance.RunLimit
 }
 
-// requestUpstreamToken sends a claim to the home of a run. The two tell each other the
-// limit that they know.
+// requestUpstreamToken sends a claim to the home of a run. The message and the answer
+// contain the limits that the two instances have recorded.
 func (r *Router) requestUpstreamToken(ctx context.Context, home fleet.Peer, c claim[balance.Run]) (quota.Decision, error) {
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
 	defer cancel()
@@ -247,7 +246,7 @@
 		return quota.Decision{}, errors.Wrap(err, "decode the answer to a claim")
 	}
 	answer.limit.Run = c.key
-	r.learnLimits(time.Now(), []balance.RunLimit{answer.limit}, "home "+string(home.ID))
+	r.mergeLimits(time.Now(), []balance.RunLimit{answer.limit}, "home "+string(home.ID))
 	return answer.decision, nil
 }
 
@@ -261,7 +260,7 @@
 		return
 	}
 	now := time.Now()
-	r.learnLimits(now, []balance.RunLimit{message.limit}, "claim")
+	r.mergeLimits(now, []balance.RunLimit{message.limit}, "claim")
 	r.mu.Lock()
 	limit := message.limit
 	if upstream := r.upstreams.GetRun(limit.Run); upstream != nil { // else it is not in this instance's list yet
--- a/internal/direct/limits_test.go
+++ b/internal/direct/limits_test.go
@@ -15,7 +15,7 @@
 
 var limitedRun = balance.Run{ID: "u", Boot: "1", Addr: "1.2.3.4:5"}
 
-// limitedFleet returns four instances that know each other and one upstream.
+// limitedFleet returns four instances of one fleet, with one upstream.
 func limitedFleet(t *testing.T) (routers []*Router, peers []fleet.Peer) {
 	t.Helper()
 	now := time.Now()
@@ -69,8 +69,8 @@
 	}
 }
 
-// Guards against an instance that knows no limit, or an older one, after another instance
-// has sent it a claim, and against one that keeps a limit that its home knows has ended.
+// Guards against an instance that has no limit, or an older one, after another instance
+// has sent it a claim, and against one that keeps a limit whose end its home has recorded.
 func TestClaimsSpreadLimits(t *testing.T) {
 	routers, peers := limitedFleet(t)
 	home := rendezvous(runName(limitedRun), peers, 1)[0].ID
@@ -96,8 +96,8 @@
 	}
 }
 
-// Guards against limits that the leader does not tell to other instances or to those that
-// follow it anew, and against reports of changes that do not matter.
+// Guards against limits that the leader does not send to other instances or to new
+// followers, and against reports of insignificant changes.
 func TestLimitsInReplies(t *testing.T) {
 	routers, _ := limitedFleet(t)
 	leader, follower := routers[0], routers[1]
@@ -109,14 +109,14 @@
 	for _, c := range []struct {
 		rate fleet.PerSecond
 		seq  uint64 // the version that the follower has
-		told bool
+		sent bool
 	}{{10, 0, true}, {10.2, 1, false}, {12, 1, true}, {12, 0, true}, {12, 2, false}} {
 		name(c.rate)
 		limits, seq := leader.limitsSince(now, c.seq)
-		if told := len(limits) > 0; told != c.told {
+		if sent := len(limits) > 0; sent != c.sent {
 			t.Errorf("limit %v, version %d of %d: %v", c.rate, c.seq, seq, limits)
 		}
-		follower.learnLimits(now, limits, "leader")
+		follower.mergeLimits(now, limits, "leader")
 	}
 	if diff := cmp.Diff(fleet.PerSecond(12), follower.upstreams.Get("u").LimitRate()); diff != "" {
 		t.Error(diff)
@@ -124,8 +124,8 @@
 	if own := follower.ownLimits(now, make(map[balance.Run]uint64)); len(own) > 0 {
 		t.Errorf("the follower reports limits that it has from the leader: %v", own)
 	}
-	told := make(map[balance.Run]uint64)
-	if first, again := leader.ownLimits(now, told), leader.ownLimits(now, told); len(first) != 1 || len(again) != 0 {
+	reported := make(map[balance.Run]uint64)
+	if first, again := leader.ownLimits(now, reported), leader.ownLimits(now, reported); len(first) != 1 || len(again) != 0 {
 		t.Errorf("own limits %v, then %v, want one and none", first, again)
 	}
 }
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -79,8 +79,8 @@
 	OperatorTag   string                               // tag of the sender's operator state
 	Restorations  uint64                               // number in the last reply of this leader
 	LimitSeq      uint64                               // last version of this leader's limits of upstreams that the sender has
-	// Leaving are the upstreams that have said to the sender that they leave, and Limits the
-	// limits that they have named to it. The leader answers a report with either at once.
+	// Leaving and Limits are from answers of upstreams to the sender: the upstreams that
+	// leave, and the limits. The leader answers a report with either at once.
 	Leaving []balance.Run
 	Limits  []balance.RunLimit
 }
@@ -146,22 +146,22 @@
 	return rep
 }
 
-// reportNews reports to the leader each upstream that has said that it leaves, or whose
-// limit has changed, as soon as it does: the regular report may wait at the leader. It
-// reports all to each leader.
+// reportNews reports to the leader each upstream whose answers state that it leaves or that
+// its limit has changed, immediately: the regular report may wait at the leader. It reports
+// all of them to each new leader.
 func (r *Router) reportNews(ctx context.Context) {
-	told, toldLimits := make(map[balance.Run]bool), make(map[balance.Run]uint64)
+	reported, reportedLimits := make(map[balance.Run]bool), make(map[balance.Run]uint64)
 	for ctx.Err() == nil {
 		now := time.Now()
 		r.mu.Lock()
-		said, info, rep := r.newsSaid, r.leader, r.emptyReport(now)
+		said, info, rep := r.newsReady, r.leader, r.emptyReport(now)
 		runs := r.upstreams.RunsLeaving()
-		next := maps.Clone(toldLimits)
+		next := maps.Clone(reportedLimits)
 		rep.Limits = r.ownLimits(now, next)
 		r.mu.Unlock()
-		maps.DeleteFunc(told, func(run balance.Run, _ bool) bool { return !slices.Contains(runs, run) })
+		maps.DeleteFunc(reported, func(run balance.Run, _ bool) bool { return !slices.Contains(runs, run) })
 		for _, run := range runs {
-			if !told[run] {
+			if !reported[run] {
 				rep.Leaving = append(rep.Leaving, run)
 			}
 		}
@@ -171,9 +171,9 @@
 				sleep(ctx, storeRetryDelay)
 				continue
 			}
-			toldLimits = next
+			reportedLimits = next
 			for _, run := range rep.Leaving {
-				told[run] = true
+				reported[run] = true
 			}
 		}
 		select {
@@ -270,7 +270,7 @@
 }
 
 // replyTime returns the earliest time at which the leader may have made a reply that
-// arrived at now, to a report sent at sentAt. What the reply states may be as old as that:
+// arrived at now, to a report sent at sentAt. Its content may be as old as that, since
 // either message may have been delayed.
 func replyTime(now, sentAt time.Time, held time.Duration) time.Time {
 	if t := sentAt.Add(held); held >= 0 && t.Before(now) {
@@ -320,7 +320,7 @@
 	fromStore := r.listFromStore
 	r.mu.Unlock()
 	r.applyOperator(repliedAt, rp)
-	defer r.learnLimits(now, rp.Limits, "leader") // after the upstreams are listed
+	defer r.mergeLimits(now, rp.Limits, "leader") // after the upstreams are listed
 	if newer && (changed || fromStore) {
 		if !changed {
 			list = r.listReplica.apply(rp.Term, rp.List)
@@ -486,7 +486,7 @@
 	}
 	r.learnLeaving(now, l, rep)
 	if rep.Instance != r.cfg.Instance {
-		r.learnLimits(now, rep.Limits, "report of "+string(rep.Instance))
+		r.mergeLimits(now, rep.Limits, "report of "+string(rep.Instance))
 	}
 	r.mu.Lock()
 	if rep.Instance != r.cfg.Instance {
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -104,7 +104,7 @@
 	leaderRestorations  uint64        // in the leader's last reply
 	limitLog            limitLog      // limits of upstreams, for the other instances
 	limitSeqReceived    uint64        // last version of the leader's limitLog that this instance has
-	newsSaid            chan struct{} // closed when an upstream has said that it leaves, or its limit has changed
+	newsReady           chan struct{} // closed when an upstream states that it leaves, or its limit has changed
 
 	// Data for replies, if this instance leads.
 	leadership  *leadership   // nil unless this instance leads
@@ -126,7 +126,7 @@
 		leaderList: newLeaderList(), update: make(chan struct{}), recentMaps: make(map[keyspace.MapVersion]*keyspace.Map),
 		accounts: newLimiter[fleet.AccountID](now, accountTolerance(cfg.Quota)), upstreamLimits: newLimiter[balance.Run](now, upstreamTolerance),
 		homeFailedAt: make(map[fleet.InstanceID]time.Time), limitLog: newLimitLog(),
-		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}), newsSaid: make(chan struct{}),
+		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}), newsReady: make(chan struct{}),
 		requestedKeys:  make(map[fleet.ServiceID][]keyspace.Key),
 		evacuatedSince: make(map[fleet.ZoneID]time.Time), evacuationEndedAt: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
 		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -2,9 +2,9 @@
 // those that upstreams name. The key type K identifies what a limit applies to.
 //
 // The requests under a small limit are counted by one instance, the home of the key,
-// which the other instances ask. For a large limit, each instance has a token bucket per
+// from which the other instances request tokens. For a large limit, each instance has a token bucket per
 // key. The rate and depth of the bucket are the limit times this instance's share of the
-// demand, which instances learn from each other; without such reports the share is even.
+// demand, which instances report to each other; without such reports the share is even.
 // An instance that receives no reports any more keeps its last share; what the other
 // instances then admit beyond theirs is within the tolerance of the limit.
 package quota
@@ -26,7 +26,7 @@
 	MinDividedRate fleet.PerSecond
 }
 
-// Decision says whether a request is within its limit.
+// Decision is the result of a check of a request against its limit.
 type Decision struct {
 	Admitted bool
 	// Wait is the time after which an admitted request may be sent, or after which a
