--- a/internal/direct/limits_test.go
+++ b/internal/direct/limits_test.go
@@ -151,3 +151,24 @@
 		}
 	}
 }
+
+// Guards against a reload of the settings that ends the limits of upstreams or gives them
+// the tolerances of client accounts.
+func TestNamedLimitOutlastsReload(t *testing.T) {
+	routers, _ := limitedFleet(t)
+	r, now := routers[0], time.Now()
+	r.noteLimit(now, now, r.upstreams.Get("u"), balance.NamedLimit{Named: true, Rate: 10}, true, "r1", "answer")
+	changed := r.cfg
+	changed.Quota.Slack = 500
+	r.platform.ReadSettings = func() (Settings, error) { return changed, nil }
+	r.reload(true)
+	if diff := cmp.Diff(fleet.PerSecond(10), r.upstreams.Get("u").LimitRate()); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(upstreamTolerance, r.upstreamLimits.tolerance); diff != "" {
+		t.Error(diff)
+	}
+	if got := admittedBy(t, []*Router{r}, 100); got > 8 {
+		t.Errorf("%d of 100 claims admitted at once after a reload, want about 3", got)
+	}
+}
