--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -19,7 +19,9 @@
 	for {
 		r.mu.Lock()
 		upstream, reason := r.upstreams.Choose(now, r.query(x, tried))
+		var id fleet.UpstreamID
 		if upstream != nil {
+			id = upstream.ID
 			r.upstreams.Started(now, upstream)
 		}
 		r.mu.Unlock()
@@ -27,7 +29,7 @@
 			return nil, reason
 		}
 		if r.admitSend(ctx, now, x, upstream, 0).Admitted {
-			tried[upstream.ID] = true
+			tried[id] = true
 			return upstream, ""
 		}
 		r.release(now, upstream)
@@ -127,7 +129,9 @@
 		now := time.Now()
 		f.r.mu.Lock()
 		upstream := f.r.upstreams.FirstLimited(now, f.r.query(f.x, f.tried))
+		var id fleet.UpstreamID
 		if upstream != nil {
+			id = upstream.ID
 			f.r.upstreams.Started(now, upstream)
 		}
 		f.r.mu.Unlock()
@@ -137,7 +141,7 @@
 		d := f.r.admitSend(ctx, now, f.x, upstream, f.r.maxLimitWait(now, f.x, upstream))
 		if d.Admitted {
 			sleep(ctx, d.Wait)
-			f.tried[upstream.ID] = true
+			f.tried[id] = true
 			f.launchAt(ctx, upstream)
 			return true
 		}
