direct: requests that wait in an instance that stops get an answer

A request sent 2.95 s after the SIGTERM was taken, was passed on to no upstream, and its connection was closed 5.2 s after the SIGTERM, when the instance stops.

Cause: a request may wait in an instance, for the end of a pause, a slot or a holder, until its own deadline, which may be after the stop.

Evidence: TestWaitingRequestIsAnsweredBeforeStop failed before with a closed connection.

0.1 s before the stop, the requests still in progress end: with 503 and a time to return if they were not sent, else with 504.

--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -171,6 +171,9 @@
 			return f.r.refuseUntil(now, cause, resumes), false
 		}
 		sleep(ctx, resumes.Add(spread).Sub(now))
+		if f.r.stopping.Err() != nil {
+			return refuse(http.StatusServiceUnavailable, "instance-stops", retryAfterFull), false
+		}
 		if ctx.Err() != nil {
 			return refuse(http.StatusGatewayTimeout, "timeout", 0), false
 		}
--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -166,7 +166,7 @@
 	case <-changed:
 	case <-t.C:
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.Canceled) {
+		if errors.Is(ctx.Err(), context.Canceled) && r.stopping.Err() == nil {
 			return refuse(http.StatusGatewayTimeout, "caller-left", 0), false
 		}
 		return refuse(http.StatusServiceUnavailable, reason, retryAfterFull), false
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -54,6 +54,9 @@
 	operatorState atomic.Pointer[OperatorState]
 	holderMap     atomic.Pointer[keyspace.Map]
 
+	stopping       context.Context // ends shortly before requests in progress are cut off
+	cancelStopping context.CancelFunc
+
 	operatorReadRequests chan struct{} // requests syncOperator to read the complete operator state
 	configured           chan struct{} // closed once there is a configuration
 
@@ -131,6 +134,7 @@
 		evacuatedSince: make(map[fleet.ZoneID]time.Time), evacuationEndedAt: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
 		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 	}
+	r.stopping, r.cancelStopping = context.WithCancel(context.Background())
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
 	r.accounts.request, r.accounts.logFailure = r.requestToken, r.logAccountHomeFailure
@@ -207,6 +211,8 @@
 	// with 0.16 of a CPU core took more than 400 ms to exit. The platform does not
 	// count requests that are cut off in the last sixth (1 s) of the grace time.
 	exitMargin = 800 * time.Millisecond
+	// stopAnswerTime is the time before the cut in which requests that wait get an answer.
+	stopAnswerTime = 100 * time.Millisecond
 	// maxCallerBody is the maximum size of a request body in bytes. The operators'
 	// limit is 64 MiB.
 	maxCallerBody = 64 << 20
@@ -222,6 +228,7 @@
 	grace := r.cfg.ShutdownGrace
 	r.stopAt = start.Add(grace - exitMargin)
 	r.mu.Unlock()
+	defer time.AfterFunc(grace-exitMargin-stopAnswerTime, r.cancelStopping).Stop()
 	r.log.Info("instance shutting down", "grace", grace)
 	callers.Drain()
 	r.resign()
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -103,6 +103,7 @@
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(r.stopping, cancel)()
 	if x.service.Sharded {
 		return r.forwardToHolder(ctx, x)
 	}
