--- a/internal/direct/limits.go
+++ b/internal/direct/limits.go
@@ -35,9 +35,9 @@
 	maxLimitTries = 3
 )
 
-// upstreamTolerance is the tolerance of named limits. Even a new home, which has no record
-// of the requests that another one has admitted, stays within half of the limit above it. Requests to a
-// limited upstream are few, so that they are counted by homes unless the limit is high.
+// upstreamTolerance is the tolerance of named limits. A new home has no record of the
+// requests that another one has admitted; half of the limit above it covers both. Requests
+// to a limited upstream are few, so that homes count them unless the limit is high.
 var upstreamTolerance = quota.Config{Window: 4 * time.Second, Overage: 0.5, Slack: 5, MinDividedRate: 25}
 
 // runName returns the name by which the homes of a run are chosen.
@@ -51,8 +51,8 @@
 }
 
 // noteLimit records the limit in the answer of an upstream to a request sent at sentAt. ran
-// states that the upstream has run the request; source is the kind of the
-// answer, and id the request that it answers, if any.
+// states that the upstream has run the request; source is the kind of the answer, and id
+// the request that it answers, if any.
 func (r *Router) noteLimit(now, sentAt time.Time, upstream *balance.Entry, l balance.NamedLimit, ran bool, id fleet.RequestID, source string) {
 	invalid := l.Invalid || l.Named && (l.Rate < balance.MinNamedLimit || l.Rate > balance.MaxNamedLimit)
 	r.mu.Lock()
