quota: the wait for a token of a limit without a rate does not overflow

A limit with a burst and no rate has an infinite wait, whose conversion differs between machines: on x86-64 it becomes negative, so that requests beyond the burst would be admitted. Found by reading. The wait is compared in seconds now, and what a refusal states is bounded. Guarded by TestLimitWithoutRate; on arm64, where the conversion saturates, its admissions were right before too.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -141,14 +141,21 @@
 	return take(&b.tokens, rate, maxWait)
 }
 
+// maxStatedWait bounds the wait of a refusal, which must fit a time.Duration.
+const maxStatedWait = time.Hour
+
 // take takes a token that is available in at most maxWait from a bucket that is refilled
 // at the given rate.
 func take(tokens *float64, rate float64, maxWait time.Duration) Decision {
-	d := Decision{Wait: max(0, time.Duration((1-*tokens)/rate*float64(time.Second)))}
-	if d.Admitted = d.Wait <= maxWait; d.Admitted {
-		*tokens--
+	seconds := 0.0
+	if *tokens < 1 {
+		seconds = (1 - *tokens) / rate // infinite if the rate is 0
+	}
+	if seconds > maxWait.Seconds() {
+		return Decision{Wait: time.Duration(min(seconds, maxStatedWait.Seconds()) * float64(time.Second))}
 	}
-	return d
+	*tokens--
+	return Decision{Admitted: true, Wait: time.Duration(seconds * float64(time.Second))}
 }
 
 // Forget removes the bucket of a key that has no limit any more.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -332,3 +332,24 @@
 		}
 	}
 }
+
+// Guards against a limit without a rate whose wait overflows, so that requests beyond its
+// burst are admitted on some machines.
+func TestLimitWithoutRate(t *testing.T) {
+	limit := fleet.Limit{Burst: 3}
+	home, table := NewHome[string](Config{Window: time.Second}), New[string](start.Add(-time.Minute), Config{Window: time.Second})
+	for name, reserve := range map[string]func() Decision{
+		"home":    func() Decision { return home.Reserve(start, "a", limit, time.Second) },
+		"divided": func() Decision { return table.Reserve(start, "a", limit, 1, time.Second) },
+	} {
+		admitted, last := 0, Decision{}
+		for range 20 {
+			if last = reserve(); last.Admitted {
+				admitted++
+			}
+		}
+		if admitted > 3 || last.Admitted || last.Wait != maxStatedWait {
+			t.Errorf("%s: %d of 20 requests admitted, last decision %+v, want at most 3 and a refusal", name, admitted, last)
+		}
+	}
+}
