--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -128,10 +128,10 @@
 	for _, e := range t.byService[id] {
 		switch {
 		case !t.Usable(e) || now.Before(e.ejectedUntil):
-		case !now.Before(e.ResumesAt()):
+		case !now.Before(e.resumesAt()):
 			return time.Time{}, cause, false
-		case first.IsZero() || e.ResumesAt().Before(first):
-			first, cause = e.ResumesAt(), LimitReached
+		case first.IsZero() || e.resumesAt().Before(first):
+			first, cause = e.resumesAt(), LimitReached
 			if first.Equal(e.pausedUntil) {
 				cause = Paused
 			}
--- a/internal/balance/limited.go
+++ b/internal/balance/limited.go
@@ -97,8 +97,8 @@
 	LimitReached                 // the limit that it names has no slot
 )
 
-// ResumesAt returns when e takes requests again that pauses or whose limit is reached.
-func (e *Entry) ResumesAt() time.Time {
+// resumesAt returns when e takes requests again that pauses or whose limit is reached.
+func (e *Entry) resumesAt() time.Time {
 	if e.limit.takesAgainAt.After(e.pausedUntil) {
 		return e.limit.takesAgainAt
 	}
--- a/internal/direct/leaving_use_test.go
+++ b/internal/direct/leaving_use_test.go
@@ -115,9 +115,11 @@
 		upstream, _ := r.chooseUpstream(t.Context(), time.Now(), x, make(map[fleet.UpstreamID]bool))
 		change(r, upstream)
 		transport := http1.NewTransport(http1.TransportConfig{DialTimeout: time.Second})
-		_, err := transport.Do(context.Background(), ln.Addr().String(), &http1.Request{
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second) // the listener does not answer
+		_, err := transport.Do(ctx, ln.Addr().String(), &http1.Request{
 			Method: "GET", Target: "/", BeforeWrite: func() error { return r.checkSend(time.Now(), x, upstream) },
 		}, nil)
+		cancel()
 		var notSent *http1.NotSentError
 		if !errors.As(err, &notSent) || !errors.Is(err, errNotAllowed) {
 			t.Errorf("upstream %s: error %v, want that the request was not sent", name, err)
--- a/internal/direct/limits_test.go
+++ b/internal/direct/limits_test.go
@@ -30,14 +30,14 @@
 	return routers, peers
 }
 
-// admittedBy sends n claims through the routers in turn, and returns how many were
+// admittedBy sends n claims at now through the routers in turn, and returns how many were
 // admitted at once.
-func admittedBy(t *testing.T, routers []*Router, n int) (admitted int) {
+func admittedBy(t *testing.T, now time.Time, routers []*Router, n int) (admitted int) {
 	t.Helper()
 	x := &exchange{route: &routes.Route{Target: time.Second}}
 	for i := range n {
 		r := routers[i%len(routers)]
-		if r.admitSend(t.Context(), time.Now(), x, r.upstreams.Get(limitedRun.ID), 0).Admitted {
+		if r.admitSend(t.Context(), now, x, r.upstreams.Get(limitedRun.ID), 0).Admitted {
 			admitted++
 		}
 	}
@@ -52,7 +52,7 @@
 		now := time.Now()
 		r.noteLimit(now, now, r.upstreams.Get(limitedRun.ID), balance.NamedLimit{Named: true, Rate: 10}, true, "r1", "answer")
 	}
-	if got := admittedBy(t, routers, 100); got < 3 || got > 8 { // 0.25 s of the limit, and what is added meanwhile
+	if got := admittedBy(t, time.Now(), routers, 100); got < 3 || got > 8 { // 0.25 s of the limit, and what is added meanwhile
 		t.Errorf("%d of 100 claims admitted by a new home, want about 3", got)
 	}
 	for _, r := range routers {
@@ -60,11 +60,11 @@
 			r.homeFailedAt[p.ID] = time.Now().Add(time.Hour)
 		}
 	}
-	if got := admittedBy(t, routers, 100); got > 0 {
+	if got := admittedBy(t, time.Now(), routers, 100); got > 0 {
 		t.Errorf("%d of 100 claims admitted at once without a home, want none", got)
 	}
-	time.Sleep(1100 * time.Millisecond) // half of the limit is used meanwhile, by all instances together
-	if got := admittedBy(t, routers, 100); got < 1 || got > 8 {
+	later := time.Now().Add(1100 * time.Millisecond) // half of the limit is used meanwhile, by all instances together
+	if got := admittedBy(t, later, routers, 100); got < 1 || got > 8 {
 		t.Errorf("%d of 100 claims admitted after 1.1 s without a home, want at most half of the limit", got)
 	}
 }
@@ -84,13 +84,13 @@
 	}
 	now := time.Now()
 	other.noteLimit(now, now, other.upstreams.Get("u"), balance.NamedLimit{Named: true, Rate: 10}, true, "r1", "answer")
-	admittedBy(t, []*Router{other}, 1)
+	admittedBy(t, time.Now(), []*Router{other}, 1)
 	if diff := cmp.Diff(fleet.PerSecond(10), holder.upstreams.Get("u").LimitRate()); diff != "" {
 		t.Errorf("limit known to the home: %s", diff)
 	}
 	later := time.Now().Add(10 * time.Millisecond)
 	holder.noteLimit(later, later, holder.upstreams.Get("u"), balance.NamedLimit{}, true, "r2", "answer")
-	admittedBy(t, []*Router{other}, 1)
+	admittedBy(t, time.Now(), []*Router{other}, 1)
 	if diff := cmp.Diff(fleet.PerSecond(0), other.upstreams.Get("u").LimitRate()); diff != "" {
 		t.Errorf("limit of the other instance after its end: %s", diff)
 	}
@@ -168,7 +168,7 @@
 	if diff := cmp.Diff(upstreamTolerance, r.upstreamLimits.tolerance); diff != "" {
 		t.Error(diff)
 	}
-	if got := admittedBy(t, []*Router{r}, 100); got > 8 {
+	if got := admittedBy(t, time.Now(), []*Router{r}, 100); got > 8 {
 		t.Errorf("%d of 100 claims admitted at once after a reload, want about 3", got)
 	}
 }
