keyspace: a refused fencing token is not sent again

Seen: a leader whose grant was refused with 409, because another leader had used a higher fencing token, went on sending the refused token every 200 ms as long as no plan replaced it: while its lease is not valid, without a candidate for the keys, or until the record of the move is stored. Upstreams count each of these calls.

Cause: Conflict only raised the failure count of the shard. Ruled out: moves (each call raises the token), writes to the store (a conflict ends the leadership).

Change: a refused shard makes no call until it has a new token.

--- a/internal/keyspace/calls.go
+++ b/internal/keyspace/calls.go
@@ -61,6 +61,9 @@
 	if sh.next != nil && sh.recorded {
 		return co.nextMoveCall(now, s, sh, c)
 	}
+	if sh.refused {
+		return Call{}, false // Plan allocates a new token
+	}
 	switch sh.state {
 	case stateHeld:
 		u, known := s.upstreams[sh.holder]
@@ -115,7 +118,7 @@
 	n := sh.next
 	sh.holder, sh.boot, sh.fence, sh.next = n.holder, n.boot, n.fence, nil
 	sh.handover, sh.state, sh.nextCall, sh.failures = handover, stateGranting, now, 0
-	sh.latestHoldEnd, sh.unconfirmedHoldEnd, sh.everGranted = time.Time{}, time.Time{}, false
+	sh.latestHoldEnd, sh.unconfirmedHoldEnd, sh.everGranted, sh.refused = time.Time{}, time.Time{}, false, false
 	co.mapChanged = true
 	co.markOverstated(now) // a new leader need no longer wait for the former holder
 }
@@ -199,7 +202,8 @@
 		}
 	case Conflict:
 		// Only leaders issue tokens, so the higher token that the upstream has seen came
-		// from another leader. Plan allocates a new token.
+		// from another leader.
+		sh.refused = true
 		sh.failures = maxGrantFailures
 		sh.nextCall = now.Add(co.timing.Retry)
 	default:
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -232,6 +232,7 @@
 	latestHoldEnd      time.Time // latest expiry of any grant that the holder may have
 	unconfirmedHoldEnd time.Time // latest expiry of a grant without an answer
 	failures           int       // consecutive failed grants
+	refused            bool      // the holder has seen a higher fencing token than fence
 	everGranted        bool      // the holder has confirmed a grant
 	blockedUntil       time.Time // no grant before then, since an earlier holder may hold the keys; set if the leader changed during a move
 }
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -277,7 +277,7 @@
 	sh.nextCall = now
 	if sh.state == stateGranting && !sh.everGranted && sh.latestHoldEnd.IsZero() && !sh.callPending {
 		// No grant was sent, so that no release is needed.
-		sh.holder, sh.boot, sh.fence, sh.next, sh.failures = u.ID, u.Boot, co.allocateFence(), nil, 0
+		sh.holder, sh.boot, sh.fence, sh.next, sh.failures, sh.refused = u.ID, u.Boot, co.allocateFence(), nil, 0, false
 		return
 	}
 	sh.next = &transfer{holder: u.ID, boot: u.Boot, raisedFence: co.nextFence}
