routes: kinds of routes and exact shares of splits

Cause: only the kind safe counted as repeatable, and any other word silently as at most once. Change: a route has a kind (safe, download, unsafe, or unknown with its name); safe and download repeat. Unknown kinds run at most once, and are logged and counted (parsleyproxy_direct_configuration_restrictions), as are services that the configuration lacks, whose requests are refused with the reason unknown-service.

Seen: shares of a split were random, so that in 200,000 requests some 300 in a row had a share that was off by 0.103 to 0.113 (bound 0.1) for most weights, with 1, 12 and 86 instances. Negative weights distorted the others and huge ones overflowed.

Ruled out: a counter shared by all instances (a message for each request), the smooth round robin of weights (its state would not survive a change of weights).

--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -54,7 +54,7 @@
 // hedgeDelay returns the time after which an idempotent request without an answer is
 // also sent to a second upstream.
 func (r *Router) hedgeDelay(x *exchange) time.Duration {
-	if !x.route.Idempotent || x.route.MaxAttempts < 2 {
+	if !x.route.Repeatable() || x.route.MaxAttempts < 2 {
 		return time.Hour
 	}
 	r.mu.Lock()
@@ -242,7 +242,7 @@
 	if f.running > 0 {
 		return outcome{}, false
 	}
-	if x.route.Idempotent && f.mayHaveRun < x.route.MaxAttempts && ctx.Err() == nil && f.r.takeRetry(now, x) && f.relaunch(ctx) {
+	if x.route.Repeatable() && f.mayHaveRun < x.route.MaxAttempts && ctx.Err() == nil && f.r.takeRetry(now, x) && f.relaunch(ctx) {
 		return outcome{}, false
 	}
 	return f.finalFailure(ctx, failed), true
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -237,6 +238,10 @@
 	r.mu.Unlock()
 	if next.Table != nil && (cur == nil || cur.Table == nil || cur.Table.Version != next.Table.Version) {
 		r.log.Info("configuration in force", "version", uint64(next.Table.Version), "revision", next.Revision)
+		if problems := next.Table.Problems; len(problems) > 0 {
+			r.log.Warn("configuration is served with restrictions", "version", uint64(next.Table.Version), "restrictions", len(problems),
+				"examples", strings.Join(problems[:min(len(problems), maxLoggedInvalid)], "; "))
+		}
 		r.updateReadiness()
 	}
 }
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -235,7 +235,7 @@
 // upstreamOutcome returns the outcome of an attempt that the upstream has answered and
 // may have run. If x is not idempotent, a status that promises the contrary is replaced.
 func upstreamOutcome(p Protocol, x *exchange, a attempt) outcome {
-	if !x.route.Idempotent && promisesNotRun(a.response.Status) {
+	if !x.route.Repeatable() && promisesNotRun(a.response.Status) {
 		return refuse(http.StatusBadGateway, "upstream-lost", 0)
 	}
 	return outcome{status: a.response.Status, header: p.CallerHeader(a.response.Header), body: a.response.Body}
--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -82,7 +82,7 @@
 		retry = true
 		sleep(ctx, unreachableRetryDelay)
 	case a.mayHaveRun():
-		if !x.route.Idempotent || !r.takeRetry(time.Now(), x) {
+		if !x.route.Repeatable() || !r.takeRetry(time.Now(), x) {
 			return refuse(http.StatusBadGateway, "upstream-lost", retryAfterHolderLost), true
 		}
 		retry = true
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -35,6 +35,7 @@
 	leading              prometheus.Gauge
 	instances            prometheus.Gauge
 	configurationVersion prometheus.Gauge
+	restrictions         prometheus.Gauge
 	storeEra             prometheus.Gauge
 	upstreams            *prometheus.GaugeVec // by service, state
 	leavingByAnswer      *prometheus.GaugeVec // by service
@@ -107,6 +108,9 @@
 	m.configurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_configuration_version", Help: "Version of the configuration in force; 0 if there is none.",
 	})
+	m.restrictions = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "parsleyproxy_direct_configuration_restrictions", Help: "Unknown kinds and services of routes in the configuration in force.",
+	})
 	m.storeEra = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_store_era", Help: "How often the store was restored from a copy, as this instance knows it.",
 	})
@@ -114,7 +118,7 @@
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
-	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
+	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
 	return m
 }
 
@@ -152,6 +156,7 @@
 	m.instances.Set(float64(len(r.instances)))
 	if op := r.operatorState.Load(); op != nil && op.Table != nil {
 		m.configurationVersion.Set(float64(op.Table.Version))
+		m.restrictions.Set(float64(len(op.Table.Problems)))
 	}
 	m.storeEra.Set(float64(r.era))
 	m.upstreams.Reset()
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -17,6 +17,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -71,6 +72,7 @@
 	upstreamLimits   limiter[balance.Run]           // those that upstreams name
 	homeFailedAt     map[fleet.InstanceID]time.Time // last failure of homes to answer
 	retryBudgets     map[fleet.ServiceID]*balance.RetryBudget
+	splitter         *routes.Splitter
 	instances        []fleet.Peer
 	evacuatedSince   map[fleet.ZoneID]time.Time // the earliest time at which the evacuation of a zone may have begun
 	holderMapUpdated chan struct{}              // closed when holderMap changes
@@ -135,6 +137,7 @@
 		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 	}
 	r.stopping, r.cancelStopping = context.WithCancel(context.Background())
+	r.splitter = routes.NewSplitter(r.rng)
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
 	r.accounts.request, r.accounts.logFailure = r.requestToken, r.logAccountHomeFailure
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -132,7 +132,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x.service = x.table.Services[x.route.Pick(r.rng)]
+	known := false
+	if x.service, known = x.table.Services[r.splitter.Pick(x.table.Version, x.route)]; !known {
+		return refuse(http.StatusServiceUnavailable, "unknown-service", retryAfterNotReady), false
+	}
 	r.retryBudget(x.service.ID).Request(x.receivedAt, r.instanceCount())
 	if x.service.Sharded && x.info.HasRoutingKey && len(r.requestedKeys[x.service.ID]) < maxReportedKeys {
 		r.requestedKeys[x.service.ID] = append(r.requestedKeys[x.service.ID], x.info.RoutingKey)
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -4,7 +4,7 @@
 package routes
 
 import (
-	"math/rand/v2"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -21,6 +21,9 @@
 	Services map[fleet.ServiceID]Service
 	Accounts map[fleet.AccountID]Account
 
+	// Problems describes the routes that are served with restrictions.
+	Problems []string
+
 	routesByHost map[string][]*Route // by canonical host, longest prefix first
 	accountByKey map[fleet.CallerKeyHash]fleet.AccountID
 }
@@ -39,7 +42,7 @@
 	Host          string
 	Prefix        string         // begins and ends with a slash
 	TrafficShares []TrafficShare // at least one
-	Idempotent    bool
+	Kind          Kind
 	MaxAttempts   int           // maximum number of upstreams that one request is sent to
 	Timeout       time.Duration // maximum time until the answer
 	Target        time.Duration // target latency
@@ -74,6 +77,7 @@
 	for i := range list {
 		host := canonicalHost(list[i].Host)
 		t.routesByHost[host] = append(t.routesByHost[host], &list[i])
+		t.Problems = append(t.Problems, t.problems(&list[i])...)
 	}
 	for _, hostRoutes := range t.routesByHost {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -81,6 +85,20 @@
 	return t
 }
 
+// problems describes the restrictions with which r is served.
+func (t *Table) problems(r *Route) []string {
+	var list []string
+	if k, unknown := r.Kind.(UnknownKind); unknown {
+		list = append(list, fmt.Sprintf("route %q: unknown kind %q: requests run at most once", r.Name, k.Name))
+	}
+	for _, p := range r.TrafficShares {
+		if _, known := t.Services[p.Service]; !known && p.Weight > 0 {
+			list = append(list, fmt.Sprintf("route %q: unknown service %q: its share of the requests is refused", r.Name, p.Service))
+		}
+	}
+	return list
+}
+
 func canonicalHost(host string) string {
 	name, _, _ := strings.Cut(host, ":")
 	return strings.ToLower(name)
@@ -105,22 +123,3 @@
 	}
 	return t.Accounts[id], true
 }
-
-// Pick returns a random service of the route, with probabilities proportional to the
-// weights.
-func (r *Route) Pick(rng *rand.Rand) fleet.ServiceID {
-	total := 0
-	for _, p := range r.TrafficShares {
-		total += p.Weight
-	}
-	if len(r.TrafficShares) == 1 || total <= 0 {
-		return r.TrafficShares[0].Service
-	}
-	n := rng.IntN(total)
-	for _, p := range r.TrafficShares {
-		if n -= p.Weight; n < 0 {
-			return p.Service
-		}
-	}
-	return r.TrafficShares[len(r.TrafficShares)-1].Service
-}
