http1, direct: large responses are streamed

Seen: a response was received completely before its first byte went to the caller. On a link of 10 Mbit/s, 540 KB take 0.43 s in, and 0.43 s out again. Bodies together may take 40% of an instance's memory, 74 MB of 184; about 150 downloads of 540 KB at a time, and the next one failed with 502 after it had run.

Change: the body of a successful response with a known length is passed on in pieces of 16 KiB while it is received, if the instance's link needs more than 20 ms for it or the memory for bodies has no room. Smaller bodies are received completely as before, so that another upstream can answer if one is cut off. Once bytes have gone out nothing is repeated: a response that ends early resets the caller's connection. Each attempt of a request has a context of its own, since the others are cut when one is chosen.

Ruled out: streaming everything (a truncated response could then never be repeated on the links of 1,000 Mbit/s, where it saves 4 ms); chunked bodies (nbhttp reuses buffers that it has released, see orderedWriter).

TestLargeResponseIsStreamed cannot pass without streaming (the upstream waits for the caller to read the first half).

--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -29,6 +29,11 @@
 	// frontBodyBudgetShare bounds it to a share of the memory limit. The rest is for copies
 	// on the way to callers, garbage and everything else.
 	frontBodyBudgetShare = 0.4
+	// frontStreamTime is the time that the instance's link needs to carry a response body
+	// from which on the body is streamed: receiving it completely first would delay the
+	// caller by that time once more. Smaller bodies are received completely, so that another
+	// upstream can make the response if one of them is cut off.
+	frontStreamTime = 20 * time.Millisecond
 	// frontMaxStoreBody is the largest response of the store in bytes. Its pages have about
 	// 1 MB, and a watch returns few of the operators' keys. The store has a budget of its
 	// own, so that bodies of upstreams cannot keep an instance from reading it.
@@ -49,6 +54,10 @@
 	return http1.NewBodyBudget(size)
 }
 
+// streamAbove returns the size in bytes of response bodies from which on they are streamed.
+// linkRate is in bytes per second, 0 if unknown.
+func streamAbove(linkRate float64) int64 { return int64(linkRate * frontStreamTime.Seconds()) }
+
 func frontCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "front",
@@ -87,6 +96,7 @@
 	log := hclog.New(&hclog.LoggerOptions{Level: level, Output: logs.NewWriter(os.Stdout, metrics.LogDropped), JSONFormat: true})
 	upstreamTransport := http1.TransportConfig{DialTimeout: frontDialTimeout, IdleTimeout: frontIdleTimeout, MaxBody: frontMaxResponseBody, MaxIdlePerAddr: frontMaxIdleConns, RejectsExcessConns: true, Bodies: upstreamBodyBudget(cfg.MaxMemory)}
 	holderTransport := upstreamTransport
+	upstreamTransport.StreamAbove = streamAbove(cfg.LinkRate)
 	holderTransport.MaxBody = frontMaxHolderBody
 	storeTransport := upstreamTransport
 	storeTransport.CloseIdleOnError, storeTransport.RejectsExcessConns = true, false
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -454,6 +454,10 @@
 	}
 }
 
+// ResponseCut records that the body of a response of e, which counted as answered, has
+// ended early.
+func (t *Table) ResponseCut(now time.Time, e *Entry) { t.updateFailureRate(now, e, 1) }
+
 func (t *Table) updateFailureRate(now time.Time, e *Entry, failed float64) {
 	oldWeight := decay(now.Sub(e.failureRateUpdated), evidenceHalfLife)
 	e.failureRate = e.failureRate*oldWeight*(1-failureRateWeight) + failed*failureRateWeight
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -48,6 +48,7 @@
 	ShutdownGrace time.Duration // time from SIGTERM to SIGKILL
 	MaxMemory     int64         // memory limit in bytes; 0: unknown
 	CPUCores      float64       // CPU cores that the instance may use
+	LinkRate      float64       // bytes per second that its link carries in each direction; 0: unknown
 
 	Retry       RetryLimit
 	Quota       QuotaTolerance
--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -66,9 +66,8 @@
 // forwardToAny sends x to an upstream of an unsharded service. If an attempt fails and
 // x may be repeated, it tries another upstream.
 func (r *Router) forwardToAny(ctx context.Context, x *exchange) outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f := &fanOut{r: r, x: x, results: make(chan attempt, x.route.MaxAttempts+2), tried: make(map[fleet.UpstreamID]bool)}
+	f := &fanOut{r: r, x: x, results: make(chan attempt, x.route.MaxAttempts+2), tried: make(map[fleet.UpstreamID]bool), streaming: -1}
+	defer f.cancelOthers()
 	if out, ok := f.launchFirst(ctx); !ok {
 		return out
 	}
@@ -101,6 +100,17 @@
 	running    int
 	mayHaveRun int // upstreams that have run, may have run or are running the request
 	failure    *outcome
+	cancels    []context.CancelFunc // of all attempts
+	streaming  int                  // index of the attempt whose response body is streamed; -1 if there is none
+}
+
+// cancelOthers ends all attempts but the one whose response body is streamed.
+func (f *fanOut) cancelOthers() {
+	for i, cancel := range f.cancels {
+		if i != f.streaming {
+			cancel()
+		}
+	}
 }
 
 // launch starts an attempt at one more upstream. If there is none, it returns the
@@ -119,7 +129,14 @@
 	f.running++
 	f.mayHaveRun++
 	f.x.arrivals++
-	go func() { f.results <- f.r.send(ctx, f.x, upstream) }()
+	index := len(f.cancels)
+	ctx, cancel := context.WithCancel(ctx)
+	f.cancels = append(f.cancels, cancel)
+	go func() {
+		a := f.r.send(ctx, f.x, upstream)
+		a.index = index
+		f.results <- a
+	}()
 }
 
 // launchReserved reserves the first slot that the limit of an upstream has in time for the
@@ -230,6 +247,9 @@
 		return outcome{}, false
 	}
 	if a.err == nil && a.verdict != balance.Failed {
+		if a.response.Stream != nil {
+			f.streaming = a.index
+		}
 		return upstreamOutcome(f.r.platform.Protocol, x, a), true
 	}
 	failed := refuse(http.StatusBadGateway, "upstream-lost", 0)
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -45,6 +45,7 @@
 
 // attempt is one try of a request at one upstream, with its result.
 type attempt struct {
+	index    int // among those of the fanOut
 	upstream *balance.Entry
 	id       fleet.UpstreamID
 	response *http1.Response
@@ -67,7 +68,7 @@
 	r.mu.Unlock()
 	a := attempt{upstream: upstream, id: run.ID}
 	req := &http1.Request{
-		Method: x.method, Target: x.target, Host: x.host, Body: x.body, Attempts: &x.attemptGroup,
+		Method: x.method, Target: x.target, Host: x.host, Body: x.body, Attempts: &x.attemptGroup, Stream: true,
 		BeforeWrite: func() error { return r.checkSend(time.Now(), x, upstream) },
 		Header:      r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
@@ -90,6 +91,9 @@
 			a.err = &http1.LostError{Addr: run.Addr, Err: errors.New("the refusal has no request id and may belong to an earlier request")}
 		}
 	}
+	if a.response != nil && a.response.Stream != nil && (a.err != nil || a.metadata.NotRun) {
+		a.response.Stream.Close() // a refusal is not passed on
+	}
 	a.verdict = classify(ctx, a)
 	r.mu.Lock()
 	noAnswer := a.verdict == balance.Silent && !upstream.AnsweredSince(sentAt)
@@ -238,5 +242,5 @@
 	if !x.route.Repeatable() && promisesNotRun(a.response.Status) {
 		return refuse(http.StatusBadGateway, "upstream-lost", 0)
 	}
-	return outcome{status: a.response.Status, header: p.CallerHeader(a.response.Header), body: a.response.Body}
+	return outcome{status: a.response.Status, header: p.CallerHeader(a.response.Header), body: a.response.Body, stream: a.response.Stream, upstream: a.upstream}
 }
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -22,6 +22,7 @@
 	upstreamCalls   *prometheus.CounterVec   // by order, result
 	keyMoves        *prometheus.CounterVec   // by cause
 	closedConns     *prometheus.CounterVec   // by cause
+	cutResponses    *prometheus.CounterVec   // by side
 	droppedLogLines prometheus.Counter
 	invalidEntries  *prometheus.CounterVec // by kind
 	invalidPauses   prometheus.Counter
@@ -72,6 +73,9 @@
 		closedConns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyproxy_direct_caller_connections_closed_total", Help: "Closed connections of callers, by cause.",
 		}, []string{"cause"}),
+		cutResponses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyproxy_direct_responses_cut_total", Help: "Streamed responses that ended early, by the side that ended them.",
+		}, []string{"side"}),
 		droppedLogLines: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "parsleyproxy_direct_log_lines_dropped_total", Help: "Log lines that were not written, since the output was too slow or the rate too high.",
 		}),
@@ -117,7 +121,7 @@
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
-	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
+	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.cutResponses, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
 	return m
 }
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
@@ -42,6 +43,8 @@
 	arrivals     int                // number of times that the request was sent to an upstream
 	attempts     []string           // descriptions of the attempts, for the log
 	attemptGroup http1.AttemptGroup // of all attempts; released once the answer is written
+	cancel       func()             // ends the context of all attempts
+	ended        func() bool        // reports whether that context has ended
 }
 
 // outcome is the answer to a caller.
@@ -49,7 +52,9 @@
 	status     int
 	header     http.Header
 	body       []byte
-	reason     string // why this instance generated the answer; empty if it is an upstream's
+	stream     *http1.BodyStream // the body, if it is not nil
+	upstream   *balance.Entry    // that made the answer; nil if this instance did
+	reason     string            // why this instance generated the answer; empty if it is an upstream's
 	retryAfter time.Duration
 }
 
@@ -60,10 +65,11 @@
 // serve handles a caller's request.
 func (r *Router) serve(w http.ResponseWriter, req *http.Request) {
 	x := &exchange{
-		method: req.Method, target: req.RequestURI, host: req.Host, header: req.Header, receivedAt: time.Now(),
+		method: req.Method, target: req.RequestURI, host: req.Host, header: req.Header, receivedAt: time.Now(), cancel: func() {},
 	}
 	defer x.attemptGroup.Release()
 	out := r.handle(req, x)
+	defer x.cancel()
 	r.logRequest(x, out)
 	if out.reason != "" {
 		if out.status == http.StatusGatewayTimeout && req.Context().Err() != nil {
@@ -75,6 +81,12 @@
 	for name, values := range out.header {
 		h[name] = values
 	}
+	if out.stream != nil {
+		h.Set("Content-Length", strconv.FormatInt(out.stream.Length, 10))
+		w.WriteHeader(out.status)
+		r.copyStream(req.Context(), w, x, out)
+		return
+	}
 	h.Set("Content-Length", strconv.Itoa(len(out.body)))
 	w.WriteHeader(out.status)
 	if _, err := w.Write(out.body); err != nil {
@@ -102,8 +114,9 @@
 		x.deadline = x.receivedAt.Add(x.info.Timeout)
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), x.deadline)
-	defer cancel()
-	defer context.AfterFunc(r.stopping, cancel)()
+	stop := context.AfterFunc(r.stopping, cancel)
+	x.cancel = func() { stop(); cancel() }
+	x.ended = func() bool { return ctx.Err() != nil }
 	if x.service.Sharded {
 		return r.forwardToHolder(ctx, x)
 	}
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -48,6 +48,12 @@
 	return nil
 }
 
+// hasRoom reports whether take would succeed for a buffer of size bytes while it grows. A
+// later take may fail nevertheless.
+func (b *BodyBudget) hasRoom(size int64) bool {
+	return b == nil || b.used.Load()+size*3/2-unbudgetedBodySize <= b.size
+}
+
 // release returns the share of a buffer of size bytes.
 func (b *BodyBudget) release(size int64) {
 	if b != nil && size > unbudgetedBodySize {
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -92,17 +92,23 @@
 	// Attempts links the attempts of the request at one Transport, which then use different
 	// connections. If nil, any connection is used. Pool ignores it.
 	Attempts *AttemptGroup
+	// Stream allows a Transport to return the body of a successful response as a stream, if
+	// the body is too large to be kept. Pool ignores it.
+	Stream bool
 	// BeforeWrite, if not nil, is called once a connection is available. If it returns an
 	// error, the request is not sent. Pool ignores it.
 	BeforeWrite func() error
 }
 
-// Response is an HTTP response with its complete body.
+// Response is an HTTP response with its complete body, or with a stream of it.
 type Response struct {
 	Status  int
 	Header  http.Header
 	Trailer http.Header
 	Body    []byte
+	// Stream, if not nil, is the body instead of Body. It must be read to its end or closed;
+	// the end of the request's context closes it too.
+	Stream *BodyStream
 	// FirstOnConn states that no other response arrived on the connection before this one,
 	// so that it cannot belong to an earlier request. Only Transport sets it.
 	FirstOnConn bool
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -169,6 +169,28 @@
 	return w.ResponseWriter.Write(b)
 }
 
+// Flush sends what was written so far.
+func (w *orderedWriter) Flush() {
+	if f, ok := w.ResponseWriter.(http.Flusher); ok && w.started {
+		f.Flush()
+	}
+}
+
+// Abort resets the connection of a response whose handler cannot complete it, so that the
+// part that was written does not look complete. w must be from a Server.
+func Abort(w http.ResponseWriter) {
+	ow := w.(*orderedWriter)
+	ow.started = true
+	_, _, _ = ow.ResponseWriter.(http.Hijacker).Hijack() // keeps nbhttp from completing the response
+	ow.server.mu.Lock()
+	ow.exchange.conn.setClosing(ClosedAborted, true)
+	ow.server.mu.Unlock()
+	if tcp, ok := ow.exchange.conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = ow.exchange.conn.Conn.Close()
+}
+
 // Hijack waits for the previous response and hands over the connection.
 func (w *orderedWriter) Hijack() (net.Conn, *bufio.ReadWriter, error) {
 	h, ok := w.ResponseWriter.(http.Hijacker)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -34,6 +34,7 @@
 	ClosedByServer CloseCause = "server"        // during a shutdown, or after a response that announced it
 	ClosedIdle     CloseCause = "read-timeout"  // no complete request within ReadTimeout
 	ClosedUnread   CloseCause = "write-timeout" // the peer did not read its response
+	ClosedAborted  CloseCause = "aborted"       // a response could not be completed
 	ClosedInvalid  CloseCause = "malformed"     // bytes that are not HTTP
 )
 
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -39,6 +39,10 @@
 	// A body counts until Do returns, or until Release of Request.Attempts. If nil, only
 	// MaxBody applies.
 	Bodies *BodyBudget
+	// StreamAbove is the size in bytes from which on the body of a response is returned as a
+	// stream, if the request allows that and the length is known. If 0, only bodies for which
+	// Bodies has no room are streamed.
+	StreamAbove int64
 	// RejectsExcessConns states that peers with too many connections accept a new one and
 	// reset it immediately. The outcome of a request written before the reset arrives is
 	// unknown, so a new connection is used only after the time in which a reset would
@@ -224,8 +228,8 @@
 
 // Do sends req to addr and returns the first complete response that accept returns
 // true for; a nil accept accepts every response. accept is called before the body is
-// read. The error is a *NotSentError or a
-// *LostError. If ctx ends first, the connection is closed.
+// read. The error is a *NotSentError or a *LostError. If ctx ends first, the connection
+// is closed; a streamed body counts as part of the response in this.
 func (t *Transport) Do(ctx context.Context, addr string, req *Request, accept func(*Response) bool) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &NotSentError{Addr: addr, Err: err}
@@ -257,8 +261,16 @@
 			}
 			return nil, &NotSentError{Addr: addr, Err: err}
 		}
-		res, keep, err := pc.readResponse(req.Method, t.cfg, accept)
-		if !stop() || err != nil {
+		res, keep, err := pc.readResponse(req, t.cfg, accept)
+		stopped := stop()
+		if err == nil && res.Stream != nil {
+			if stopped && res.Stream.attach(ctx, t, addr) {
+				return res, nil
+			}
+			pc.reset()
+			return nil, &LostError{Addr: addr, Err: ctx.Err()}
+		}
+		if !stopped || err != nil {
 			keep = false
 		}
 		if ctx.Err() != nil {
@@ -440,10 +452,10 @@
 
 // readResponse returns the first response that accept returns true for, and whether
 // the connection can be reused. The body of the response counts in cfg.Bodies.
-func (pc *persistentConn) readResponse(method string, cfg TransportConfig, accept func(*Response) bool) (*Response, bool, error) {
+func (pc *persistentConn) readResponse(req *Request, cfg TransportConfig, accept func(*Response) bool) (*Response, bool, error) {
 	interim, skipped, skippedSize := 0, 0, int64(0)
 	for interim <= maxInterim && skipped <= maxSkipped {
-		res, err := pc.readHead(method)
+		res, err := pc.readHead(req.Method)
 		if err != nil {
 			return nil, false, err
 		}
@@ -467,6 +479,10 @@
 			}
 			continue
 		}
+		if cfg.streams(req, res) {
+			response.Stream = &BodyStream{Length: res.ContentLength, left: res.ContentLength, conn: pc, response: response, body: res.Body, reusable: !res.Close}
+			return response, true, nil
+		}
 		if response.Body, err = readBody(res, cfg.MaxBody, cfg.Bodies); err != nil {
 			return nil, false, err
 		}
