keyspace: keys of an ended upstream move at once

Seen: a holder that ended, and whose address went to another upstream, kept its keys until the end of its grant, although each renewal was answered with 421 by the new one. With the holds that long work needs this is up to 10 s.

Cause: the result Gone counted as any failed call. Change: a holder that is gone holds nothing: its shard gets another holder with the next plan, a move that waits for it is complete, and it is no candidate for keys. Ruled out: the same for a refused connection, which says less: a machine's links may refuse while the upstream works.

--- a/internal/keyspace/calls.go
+++ b/internal/keyspace/calls.go
@@ -29,7 +29,7 @@
 	Conflict        // the upstream has seen a higher fencing token
 	NotSent         // the upstream cannot have received the call
 	NoAnswer        // the upstream may have executed the call or may still do so
-	Gone            // the upstream has stopped, or another one listens at its address
+	Gone            // another upstream listens at the address, so that this one has ended and holds nothing
 )
 
 // Calls returns the calls that are due. The caller must report the result of each
@@ -139,6 +139,9 @@
 	case NoAnswer:
 		sh.unconfirmedHoldEnd = laterTime(sh.unconfirmedHoldEnd, co.latestExpiry(now))
 		sh.latestHoldEnd = laterTime(sh.latestHoldEnd, sh.unconfirmedHoldEnd)
+	case Gone:
+		co.holderEnded(now, sh)
+		return
 	}
 	if sh.state == stateRaisingFence && c.Fence != sh.fence {
 		co.fenceRaiseEnded(now, sh, r)
@@ -147,6 +150,20 @@
 	co.grantEnded(now, sh, r)
 }
 
+// holderEnded records that the holder of sh has ended and holds nothing. Plan assigns the
+// keys to another upstream.
+func (co *Coordinator) holderEnded(now time.Time, sh *shard) {
+	sh.latestHoldEnd, sh.unconfirmedHoldEnd = time.Time{}, time.Time{}
+	sh.failures, sh.nextCall = maxGrantFailures, now.Add(co.timing.Retry)
+	if sh.next != nil {
+		sh.nextCall = now
+	}
+	if sh.state == stateHeld {
+		co.mapChanged = true
+	}
+	sh.state, sh.everGranted = stateGranting, false
+}
+
 func (co *Coordinator) updateReachability(now time.Time, id fleet.UpstreamID, r Result) {
 	c := co.reachability[id]
 	if r == Done || r == Conflict {
@@ -155,6 +172,9 @@
 		c.failures++
 		c.lastFailed = now
 	}
+	if r == Gone {
+		c.lastDone = time.Time{} // unreachable from now on
+	}
 	co.reachability[id] = c
 }
 
@@ -174,6 +194,10 @@
 	if sh.next == nil {
 		return
 	}
+	if r == Gone {
+		co.completeMove(now, sh, "")
+		return
+	}
 	if r != Done {
 		sh.nextCall = now.Add(co.timing.Retry)
 		return
--- a/internal/keyspace/keyspace_test.go
+++ b/internal/keyspace/keyspace_test.go
@@ -25,13 +25,14 @@
 	holdEnds  map[fleet.UpstreamID]map[Key]time.Time
 	fences    map[fleet.UpstreamID]map[Key]fleet.Fence
 	silent    map[fleet.UpstreamID]bool
+	gone      map[fleet.UpstreamID]bool         // another upstream listens at the address
 	restarted map[fleet.UpstreamID]fleet.BootID // by restarted upstream
 }
 
 func newFakeUpstreams(t *testing.T) *fakeUpstreams {
 	return &fakeUpstreams{
 		t: t, holdEnds: make(map[fleet.UpstreamID]map[Key]time.Time),
-		fences: make(map[fleet.UpstreamID]map[Key]fleet.Fence), silent: make(map[fleet.UpstreamID]bool), restarted: make(map[fleet.UpstreamID]fleet.BootID),
+		fences: make(map[fleet.UpstreamID]map[Key]fleet.Fence), silent: make(map[fleet.UpstreamID]bool), gone: make(map[fleet.UpstreamID]bool), restarted: make(map[fleet.UpstreamID]fleet.BootID),
 	}
 }
 
@@ -43,6 +44,8 @@
 	switch {
 	case fakes.silent[c.Upstream]:
 		return NoAnswer
+	case fakes.gone[c.Upstream]:
+		return Gone
 	case fakes.restarted[c.Upstream] != "" && fakes.restarted[c.Upstream] != c.Boot:
 		return NotSent
 	case c.Service != archive:
--- a/internal/keyspace/refused_test.go
+++ b/internal/keyspace/refused_test.go
@@ -50,3 +50,54 @@
 		})
 	}
 }
+
+// Guards against keys that wait for the end of a hold although another upstream listens at
+// the address of their holder, which has therefore ended.
+func TestEndedHolderIsReplacedAtOnce(t *testing.T) {
+	now := start
+	o := NewCoordinator(now, 1, timing, Record{})
+	o.SetUpstreams(now, archive, usableUpstreams("a", "b", "c"))
+	fakes := newFakeUpstreams(t)
+	run(o, fakes, &now, 10*time.Second)
+	key := heldBy(t, o, "a")
+	fakes.gone["a"], fakes.holdEnds["a"] = true, nil
+	endedAt := now
+	for now.Sub(endedAt) < 2*timing.Hold {
+		run(o, fakes, &now, 100*time.Millisecond)
+		if id := holderOf(o, key); id != "a" && id != "" {
+			break
+		}
+	}
+	// A renewal discovers the end, a plan and a record follow, and the grant.
+	if took, limit := now.Sub(endedAt), timing.Renew+500*time.Millisecond; took > limit {
+		t.Errorf("a key of the ended holder had another one after %v, want at most %v", took, limit)
+	}
+	run(o, fakes, &now, time.Second)
+	for _, s := range o.services[archive].shards {
+		if s.plannedHolder() == "a" {
+			t.Errorf("keys %d to %d are still assigned to the ended upstream", s.From, s.To)
+		}
+	}
+}
+
+// holderOf returns the upstream that has confirmed a grant of key, or "".
+func holderOf(o *Coordinator, key Key) fleet.UpstreamID {
+	for _, sh := range o.services[archive].shards {
+		if sh.From <= key && key <= sh.To && sh.state == stateHeld {
+			return sh.holder
+		}
+	}
+	return ""
+}
+
+// heldBy returns a key that an upstream holds.
+func heldBy(t *testing.T, o *Coordinator, id fleet.UpstreamID) Key {
+	t.Helper()
+	for _, sh := range o.services[archive].shards {
+		if sh.holder == id && sh.state == stateHeld {
+			return sh.From
+		}
+	}
+	t.Fatalf("upstream %s holds no key", id)
+	return 0
+}
