--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -95,6 +95,9 @@
 	// Stream allows a Transport to return the body of a successful response as a stream, if
 	// the body is too large to be kept. Pool ignores it.
 	Stream bool
+	// CloseAfter closes the connection after the response, so that no later request can be
+	// answered by a second copy of it. Pool ignores it.
+	CloseAfter bool
 	// BeforeWrite, if not nil, is called once a connection is available. If it returns an
 	// error, the request is not sent. Pool ignores it.
 	BeforeWrite func() error
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -270,7 +270,7 @@
 			pc.reset()
 			return nil, &LostError{Addr: addr, Err: ctx.Err()}
 		}
-		if !stopped || err != nil {
+		if !stopped || err != nil || req.CloseAfter {
 			keep = false
 		}
 		if ctx.Err() != nil {
