--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -29,6 +29,9 @@
 	out := make(map[fleet.AccountID]float64)
 	err := d.Obj(func(d *jx.Decoder, id string) error {
 		v, err := d.Float64()
+		if err == nil && v < 0 {
+			err = errors.Errorf("demand of account %q: want 0 or more, not %v", id, v)
+		}
 		out[fleet.AccountID(id)] = v
 		return err
 	})
@@ -41,6 +44,9 @@
 		var values []int
 		err := d.Arr(func(d *jx.Decoder) error {
 			v, err := d.Int()
+			if err == nil && v < 0 {
+				err = errors.Errorf("service times of upstream %q: want 0 or more, not %d", id, v)
+			}
 			values = append(values, v)
 			return err
 		})
@@ -405,8 +411,30 @@
 			if n[2] < 0 || n[2] >= len(holders) {
 				return errors.Errorf("map: holder index %d out of range for %d holders", n[2], len(holders))
 			}
+			if n[0] < 0 || n[1] < n[0] || n[1] >= keyspace.Keys {
+				return errors.Errorf("map: service %q: keys %d to %d are no span", id, n[0], n[1])
+			}
 			r.MapSpans[id] = append(r.MapSpans[id], keyspace.HeldSpan{Span: keyspace.Span{From: keyspace.Key(n[0]), To: keyspace.Key(n[1])}, Holder: holders[n[2]]})
 		}
+		if err := checkSpans(r.MapSpans[id], r.WholeMap); err != nil {
+			return errors.Wrapf(err, "map: service %q", id)
+		}
+	}
+	return nil
+}
+
+// checkSpans returns an error unless spans are in order. whole states that they have to
+// cover all keys.
+func checkSpans(spans []keyspace.HeldSpan, whole bool) error {
+	next := 0
+	for _, h := range spans {
+		if int(h.From) < next || whole && int(h.From) > next {
+			return errors.Errorf("span from key %d, expected from %d", h.From, next)
+		}
+		next = int(h.To) + 1
+	}
+	if whole && next != keyspace.Keys {
+		return errors.Errorf("spans end at key %d", next-1)
 	}
 	return nil
 }
