direct: a large fleet repeats failed store calls less often

While the store is away each instance repeats two reads every 0.15 to 0.6 s: 195 instances make 650 calls a second, 12 make 40.

Cause: the delays are literals that fit a small fleet. Change: they grow with the number of instances, to 0.9 and 2 s at most, which is below the 3 s after which changes bind again. The leader, on whose calls all rely, and an instance that is not ready yet keep the short ones.

Result: calls of an instance in an outage of 4.5 s: 9 before, 3 after at 195 instances (TestStoreRetriesOfLargeFleets).

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -24,6 +24,10 @@
 	// call, even while the store is unavailable.
 	storeRetryDelay    = 150 * time.Millisecond
 	maxStoreRetryDelay = 600 * time.Millisecond
+	// fleetRetryDelay and maxFleetRetryDelay bound the two in a large fleet. Changes are
+	// binding again 3 s after the end of an outage at the earliest.
+	fleetRetryDelay    = 900 * time.Millisecond
+	maxFleetRetryDelay = 2 * time.Second
 	// reregistrationGrace is the time after a store outage within which upstreams whose
 	// registrations expired meanwhile register again. Until it is over, upstreams
 	// missing from the list are kept.
@@ -81,6 +85,37 @@
 	return false
 }
 
+// storeRetryDelays returns the delay before one of n instances repeats a failed store call
+// for the first time, and the longest delay. In a large fleet they grow with n, so that all
+// instances together make no more calls.
+func storeRetryDelays(n int) (first, longest time.Duration) {
+	scale := max(1, float64(n)/smallFleetSize)
+	return min(time.Duration(scale*float64(storeRetryDelay)), fleetRetryDelay), min(time.Duration(scale*float64(maxStoreRetryDelay)), maxFleetRetryDelay)
+}
+
+// storeRetry is the delay of a loop that repeats store calls until one succeeds. The leader,
+// on whose calls the others rely, and an instance that is not ready repeat them as in a
+// small fleet.
+type storeRetry struct {
+	r     *Router
+	delay time.Duration // 0 after a successful call
+}
+
+func (s *storeRetry) succeeded() { s.delay = 0 }
+
+// wait waits for the next repetition.
+func (s *storeRetry) wait(ctx context.Context) {
+	s.r.mu.Lock()
+	n := len(s.r.instances)
+	if s.r.leadership != nil || !s.r.ready.Load() {
+		n = 0
+	}
+	s.r.mu.Unlock()
+	first, longest := storeRetryDelays(n)
+	s.delay = max(first, min(2*s.delay, longest))
+	sleep(ctx, s.delay)
+}
+
 // loadOwnership loads the instances and key holders of the stored ownership record
 // before any request can be admitted. Without the instances, this one would assume a
 // smaller fleet and admit more than its share of each limit until the leader replies;
@@ -88,7 +123,7 @@
 // recorded holders are used until the leader's map arrives, since grants outlast an
 // election.
 func (r *Router) loadOwnership(ctx context.Context) {
-	delay := storeRetryDelay
+	retry := storeRetry{r: r}
 	for ctx.Err() == nil {
 		record, _, err := r.readOwnership(ctx)
 		r.noteStoreResult(time.Now(), err)
@@ -105,8 +140,7 @@
 			return
 		}
 		r.log.Debug("reading the ownership record failed", "error", err)
-		sleep(ctx, delay)
-		delay = min(2*delay, maxStoreRetryDelay)
+		retry.wait(ctx)
 	}
 }
 
@@ -118,7 +152,7 @@
 		r.loadOwnership(ctx)
 	}
 	known := false
-	delay := storeRetryDelay
+	retry := storeRetry{r: r}
 	for ctx.Err() == nil {
 		if known && r.awaitOperatorReadDue(ctx) {
 			known = false
@@ -143,12 +177,11 @@
 			if errors.Is(err, ErrRestored) {
 				continue // the complete state can be read at once
 			}
-			sleep(ctx, delay)
-			delay = min(2*delay, maxStoreRetryDelay)
+			retry.wait(ctx)
 			r.awaitOperatorReadDue(ctx) // the leader may send the state meanwhile
 			continue
 		}
-		delay = storeRetryDelay
+		retry.succeeded()
 		if next.Invalid != nil {
 			r.noteInvalid(time.Now(), entryConfiguration, []error{next.Invalid})
 		}
@@ -264,7 +297,7 @@
 		r.awaitLeader(ctx, func() bool { return !r.listedAt.IsZero() })
 		r.awaitListReadDue(ctx)
 	}
-	delay := storeRetryDelay
+	retry := storeRetry{r: r}
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -273,12 +306,11 @@
 		r.noteStoreResult(time.Now(), err)
 		if err != nil {
 			r.log.Debug("listing the upstreams failed", "error", err, "after", time.Since(requestedAt))
-			sleep(ctx, delay)
-			delay = min(2*delay, maxStoreRetryDelay)
+			retry.wait(ctx)
 			r.awaitListReadDue(ctx) // the leader may send the list meanwhile
 			continue
 		}
-		delay = storeRetryDelay
+		retry.succeeded()
 		r.noteInvalid(time.Now(), entryUpstream, list.Invalid)
 		r.mu.Lock()
 		r.listFromStore = true
--- a/internal/direct/follow_test.go
+++ b/internal/direct/follow_test.go
@@ -80,3 +80,33 @@
 		}
 	}
 }
+
+// Guards against a large fleet that makes hundreds of calls a second while the store is
+// away, each of which is charged for, and against instances that notice its return too late.
+func TestStoreRetriesOfLargeFleets(t *testing.T) {
+	const (
+		outage       = 4500 * time.Millisecond
+		bindingAfter = 3 * time.Second // after the end of an outage
+	)
+	calls := func(n int) (count int) {
+		first, longest := storeRetryDelays(n)
+		delay := time.Duration(0)
+		for at := time.Duration(0); at < outage; at += delay {
+			count++
+			delay = max(first, min(2*delay, longest))
+		}
+		return count
+	}
+	for _, n := range []int{0, smallFleetSize, 60, 86, 195, 300} {
+		_, longest := storeRetryDelays(n)
+		if longest+storeTimeout > bindingAfter {
+			t.Errorf("%d instances: a call may come %v after the store's return", n, longest)
+		}
+		if n <= smallFleetSize {
+			continue
+		}
+		if got, most := calls(n), calls(smallFleetSize)/2; got > most {
+			t.Errorf("each of %d instances makes %d calls in an outage, want at most half of those in a small fleet, %d", n, got, most)
+		}
+	}
+}
