balance: a reported load counts as long as work lasts

Cause: what an answer says of the requests of other instances was forgotten with a half-life of 0.4 s, which fits work of 0.1 to 0.3 s. With work of 0.6 to 0.8 s and 195 instances, each of which sends an upstream a request a minute, nearly every upstream looks idle.

Change: the half-life is four times the mean service time, 0.4 s at least.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -56,8 +56,12 @@
 	// difference between the service time of an upstream and the mean of its service
 	// decays with four times this half-life.
 	evidenceHalfLife = 2 * time.Second
-	// loadHalfLife is the half-life of a reported number of requests of other instances.
-	loadHalfLife = 400 * time.Millisecond
+	// minLoadHalfLife is the shortest half-life of a reported number of requests of other
+	// instances. The half-life is loadMeanTimes times the mean service time if that is longer:
+	// the number changes as requests end, and forgotten too soon it makes each upstream that
+	// has not answered lately look idle.
+	minLoadHalfLife = 400 * time.Millisecond
+	loadMeanTimes   = 4
 	// slowdownHalfLife is the half-life of a reported slowdown, which ends sooner than a
 	// queue.
 	slowdownHalfLife = 200 * time.Millisecond
@@ -359,7 +363,7 @@
 	if e.load.Slowdown > 1 {
 		serviceTime *= 1 + (e.load.Slowdown-1)*decay(now.Sub(e.loadReported), slowdownHalfLife)
 	}
-	ahead := float64(e.InFlight) + e.othersInFlight*decay(now.Sub(e.loadReported), loadHalfLife)
+	ahead := float64(e.InFlight) + e.othersInFlight*decay(now.Sub(e.loadReported), t.loadHalfLife(e.Service))
 	slots := float64(max(e.Slots, 1))
 	wait := serviceTime * max(0, ahead+1-slots) / slots
 	// The service time rises a little with the number of used slots. The term also spreads
@@ -375,6 +379,10 @@
 	return seconds * (1 - costJitter/2 + costJitter*t.rng.Float64())
 }
 
+func (t *Table) loadHalfLife(id fleet.ServiceID) time.Duration {
+	return max(minLoadHalfLife, time.Duration(loadMeanTimes*t.meanTimes[id]*float64(time.Second)))
+}
+
 // ServiceTime returns the estimated service time of e in seconds, without queueing. As
 // the last answer of e gets older, the estimate approaches the mean of the service.
 func (t *Table) ServiceTime(now time.Time, e *Entry) float64 {
