keyspace, direct: a grant lasts as long as work that is in time

Cause: a grant is valid for 2.5 s whatever the work. Change: it is valid for the longest target latency of the service's routes and a renewal, 2.5 s at least, holdMax at most; a release may take as long. The stored record states the validity before it is used, since the next leader has to wait for these grants; a record without it means 2.5 s, and after a restoration of the store the longest that the configuration allows counts.

--- a/internal/direct/elect.go
+++ b/internal/direct/elect.go
@@ -206,10 +206,27 @@
 		r.log.Warn("ownership record is from before the store was restored", "record-era", uint64(record.Era), "term", l.term)
 	}
 	l.recordRev, l.recordedInstances, l.recordedCount = recordRev, record.Instances, len(record.Instances)
-	l.coordinator = keyspace.NewCoordinator(time.Now(), l.term, keyspace.Timing{Hold: min(grantTTL, r.cfg.MaxGrantTTL), Renew: grantRenewInterval, Retry: grantRetryDelay}, record)
+	l.coordinator = keyspace.NewCoordinator(time.Now(), l.term, keyspace.Timing{
+		Hold: min(minGrantTTL, r.cfg.MaxGrantTTL), Renew: grantRenewInterval, Retry: grantRetryDelay, UnknownHold: r.longestGrantTTL(),
+	}, record)
 	return l, nil
 }
 
+// longestGrantTTL returns the longest validity of grants that a leader may have requested.
+func (r *Router) longestGrantTTL() time.Duration {
+	op := r.operatorState.Load()
+	if op == nil || op.Table == nil {
+		return r.cfg.MaxGrantTTL
+	}
+	longest := time.Duration(0)
+	for id, s := range op.Table.Services {
+		if s.Sharded {
+			longest = max(longest, grantTTL(op.Table.LongestTarget(id), r.cfg.MaxGrantTTL))
+		}
+	}
+	return longest
+}
+
 // isFirstElection reports whether no record can have been lost before the given term: the
 // whole fleet has started for the first time, and this instance knows no earlier era.
 func (r *Router) isFirstElection(term fleet.Revision) bool {
--- a/internal/direct/elect_test.go
+++ b/internal/direct/elect_test.go
@@ -71,3 +71,28 @@
 		}
 	}
 }
+
+// Guards against grants that end useful work, outlast what the platform allows, or end
+// before another leader can renew them.
+func TestGrantTTL(t *testing.T) {
+	const longest = 10 * time.Second
+	for target, want := range map[time.Duration]time.Duration{
+		0:                       minGrantTTL,
+		600 * time.Millisecond:  minGrantTTL,
+		4 * time.Second:         4500 * time.Millisecond,
+		9800 * time.Millisecond: longest,
+		time.Minute:             longest,
+	} {
+		if diff := cmp.Diff(want, grantTTL(target, longest)); diff != "" {
+			t.Errorf("target %v: %s", target, diff)
+		}
+	}
+	// After the last renewal, the lease of a lost leader ends, another one becomes a
+	// candidate, is elected, reads the record and renews.
+	for _, n := range []int{12, 86, 195, 300} {
+		election := grantRenewInterval + leaderLeaseTTL + candidacyDelay(minLeaderCores, n) + electionJitter + 4*leaderTick
+		if election > minGrantTTL {
+			t.Errorf("%d instances: an election takes %v, and a grant is valid for %v", n, election, minGrantTTL)
+		}
+	}
+}
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -23,7 +23,7 @@
 
 const (
 	// leaderLeaseTTL is the time after which a silent leader's lease expires and
-	// another one can be elected. It is short compared with grantTTL, so that grants
+	// another one can be elected. It is short compared with minGrantTTL, so that grants
 	// outlast an election.
 	leaderLeaseTTL = 1500 * time.Millisecond
 	// leaseMargin is how long before the end of its lease a leader stops relying on it.
@@ -40,18 +40,15 @@
 	// the outage before the other instances report that they reach the store.
 	outageRenewInterval = 100 * time.Millisecond
 	outageRenewTimeout  = 200 * time.Millisecond
-	// grantTTL is the validity of a grant. The keys of a lost upstream get a new holder
-	// after it. An election must take less.
-	grantTTL = 2500 * time.Millisecond
+	// minGrantTTL is the shortest validity of a grant. The keys of a lost upstream get a new
+	// holder after it. An election must take less.
+	minGrantTTL = 2500 * time.Millisecond
 	// grantRenewInterval is the time between two renewals of a grant.
 	grantRenewInterval = 500 * time.Millisecond
 	// grantRetryDelay is the delay before a failed call to an upstream is repeated.
 	grantRetryDelay = 200 * time.Millisecond
 	// grantTimeout bounds a grant call, which a busy upstream answers late.
-	// releaseTimeout bounds a release call, which is answered once the requests in
-	// progress have ended.
-	grantTimeout   = 800 * time.Millisecond
-	releaseTimeout = 2500 * time.Millisecond
+	grantTimeout = 800 * time.Millisecond
 	// leaderTick is the interval at which a leader starts due calls, planInterval the
 	// interval at which it plans key moves.
 	leaderTick   = 25 * time.Millisecond
@@ -415,7 +412,7 @@
 		if addr != "" {
 			timeout := grantTimeout
 			if c.Release {
-				timeout = releaseTimeout
+				timeout = c.Hold // the answer follows the requests in progress
 			}
 			sentAt := time.Now()
 			callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -472,9 +469,18 @@
 			continue
 		}
 		l.coordinator.SetUpstreams(now, id, r.holderCandidates(now, id))
+		l.coordinator.SetHold(id, grantTTL(op.Table.LongestTarget(id), r.cfg.MaxGrantTTL))
 	}
 }
 
+// grantTTL returns the validity of the grants of a service. target is the longest target
+// latency of its routes, and longest what the platform allows. Work that outlasts the grant
+// under which it started fails, however often the grant is renewed; the grant may have been
+// renewed up to grantRenewInterval before. Work that ends after the target is late anyway.
+func grantTTL(target, longest time.Duration) time.Duration {
+	return min(max(minGrantTTL, target+grantRenewInterval), longest)
+}
+
 // holderCandidates describes the upstreams of a service to the keyspace coordinator. The
 // caller must hold mu.
 func (r *Router) holderCandidates(now time.Time, id fleet.ServiceID) []keyspace.Upstream {
--- a/internal/keyspace/calls.go
+++ b/internal/keyspace/calls.go
@@ -14,7 +14,7 @@
 	Span
 	Fence    fleet.Fence
 	Release  bool          // false for a grant or its renewal
-	Hold     time.Duration // requested validity of a grant
+	Hold     time.Duration // requested validity of a grant; of a release, that of the grants before it
 	Handover string        // what the previous holder returned when it released the keys
 
 	shard *shard
@@ -53,7 +53,7 @@
 // nextCallFor advances the state of sh as far as that is possible without a call, and
 // returns the next call. It returns false if none is due.
 func (co *Coordinator) nextCallFor(now time.Time, s *service, sh *shard) (Call, bool) {
-	c := Call{Service: s.id, Upstream: sh.holder, Boot: sh.boot, Span: sh.Span, Fence: sh.fence, Hold: co.timing.Hold, Handover: sh.handover, shard: sh}
+	c := Call{Service: s.id, Upstream: sh.holder, Boot: sh.boot, Span: sh.Span, Fence: sh.fence, Hold: s.grantHold(), Handover: sh.handover, shard: sh}
 	if now.Before(sh.blockedUntil) {
 		sh.nextCall = sh.blockedUntil
 		return Call{}, false
@@ -137,7 +137,7 @@
 	case Done:
 		sh.latestHoldEnd = laterTime(sh.latestHoldEnd, now.Add(time.Duration(float64(c.Hold)*clockDriftFactor)))
 	case NoAnswer:
-		sh.unconfirmedHoldEnd = laterTime(sh.unconfirmedHoldEnd, co.latestExpiry(now))
+		sh.unconfirmedHoldEnd = laterTime(sh.unconfirmedHoldEnd, latestExpiry(now, c.Hold))
 		sh.latestHoldEnd = laterTime(sh.latestHoldEnd, sh.unconfirmedHoldEnd)
 	case Gone:
 		co.holderEnded(now, sh)
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -146,9 +146,12 @@
 
 // Timing contains the durations that apply to grants.
 type Timing struct {
-	Hold  time.Duration // validity that each grant requests
+	Hold  time.Duration // validity that a grant requests, unless SetHold states a longer one
 	Renew time.Duration // interval between renewals
 	Retry time.Duration // delay after a failed call
+	// UnknownHold is the longest validity of grants that a record of an earlier era may
+	// lack.
+	UnknownHold time.Duration
 }
 
 // clockDriftFactor is the factor by which a grant may last longer than its hold time
@@ -257,6 +260,10 @@
 	lastJoined time.Time          // when a new candidate was last listed
 	lastDecay  time.Time          // when keyLoad was last decayed
 	keyLoad    *LoadCounter
+
+	hold         time.Duration // validity that grants are to request
+	recordedHold time.Duration // longest validity that the stored record states
+	savedHold    time.Duration // longest validity in the last record that Save returned
 }
 
 // Coordinator is the leader's assignment of all shards to upstreams.
@@ -282,16 +289,22 @@
 // previous leader stored.
 func NewCoordinator(now time.Time, term fleet.Revision, t Timing, rec Record) *Coordinator {
 	co := &Coordinator{timing: t, term: term, instances: rec.Instances, nextFence: max(rec.NextFence, fleet.FirstFence(term.Era())), services: make(map[fleet.ServiceID]*service), reachability: make(map[fleet.UpstreamID]reachability), mapChanged: true}
-	latest := co.latestExpiry(now.Add(staleLeaderTime))
-	co.oldCallsEnd = latest
+	longest := t.Hold
+	for _, hold := range rec.Holds {
+		longest = max(longest, hold)
+	}
+	co.oldCallsEnd = latestExpiry(now.Add(staleLeaderTime), longest)
 	co.formerEra, co.savedEra = rec.Era, rec.Era
 	if rec.Era != term.Era() {
-		co.oldCallsEnd = latest.Add(restoredLeaderTime)
+		co.oldCallsEnd = latestExpiry(now.Add(staleLeaderTime+restoredLeaderTime), max(longest, t.UnknownHold))
 		co.unknownHoldsEnd = co.oldCallsEnd
 		co.recordDirty = true
 	}
 	for id, shards := range rec.Services {
-		s := &service{id: id, keyLoad: NewLoadCounter(), firstSeen: now}
+		s := co.newService(id)
+		s.firstSeen, s.recordedHold = now, max(t.Hold, rec.Holds[id])
+		s.savedHold = s.recordedHold
+		latest := latestExpiry(now.Add(staleLeaderTime), s.recordedHold)
 		for _, r := range shards {
 			if rec.Era != term.Era() {
 				s.shards = append(s.shards, &shard{
@@ -332,10 +345,32 @@
 	co.recordDirty = co.recordDirty || now
 }
 
-func (co *Coordinator) latestExpiry(now time.Time) time.Time {
-	return now.Add(time.Duration(float64(co.timing.Hold)*clockDriftFactor) + maxArrivalDelay)
+// latestExpiry returns the latest expiry of a grant with the given validity whose call has
+// ended by now without an answer.
+func latestExpiry(now time.Time, hold time.Duration) time.Time {
+	return now.Add(time.Duration(float64(hold)*clockDriftFactor) + maxArrivalDelay)
 }
 
+func (co *Coordinator) newService(id fleet.ServiceID) *service {
+	return &service{id: id, keyLoad: NewLoadCounter(), hold: co.timing.Hold, recordedHold: co.timing.Hold, savedHold: co.timing.Hold}
+}
+
+// SetHold sets the validity that the grants of a service request, if it is longer than
+// Timing.Hold. It takes effect once a record that states it is stored, since the next
+// leader has to wait for these grants.
+func (co *Coordinator) SetHold(id fleet.ServiceID, hold time.Duration) {
+	s := co.services[id]
+	if s == nil {
+		s = co.newService(id)
+		co.services[id] = s
+	}
+	s.hold = max(hold, co.timing.Hold)
+	co.recordDirty = co.recordDirty || s.hold > s.savedHold
+}
+
+// grantHold returns the validity that a grant may request now.
+func (s *service) grantHold() time.Duration { return min(s.hold, s.recordedHold) }
+
 // Map returns the map and true if it has changed since the last call.
 func (co *Coordinator) Map() (*Map, bool) {
 	if !co.mapChanged {
--- a/internal/keyspace/keyspace_test.go
+++ b/internal/keyspace/keyspace_test.go
@@ -284,7 +284,7 @@
 // Guards against a record that changes when it is encoded and decoded, and against
 // invalid records that are accepted.
 func TestRecordRoundTrip(t *testing.T) {
-	rec := Record{NextFence: 7, Services: map[fleet.ServiceID][]RecordShard{archive: {
+	rec := Record{NextFence: 7, Holds: map[fleet.ServiceID]time.Duration{archive: 4500 * time.Millisecond}, Services: map[fleet.ServiceID][]RecordShard{archive: {
 		{Span: Span{0, 99}, Holder: "a", Boot: "1", Fence: 3},
 		{Span: Span{100, maxKey}, Holder: "b", Boot: "2", Fence: 6, Moving: true},
 	}}}
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -49,7 +49,7 @@
 func (co *Coordinator) SetUpstreams(now time.Time, id fleet.ServiceID, list []Upstream) {
 	s := co.services[id]
 	if s == nil {
-		s = &service{id: id, keyLoad: NewLoadCounter()}
+		s = co.newService(id)
 		co.services[id] = s
 	}
 	if s.firstSeen.IsZero() && len(list) > 0 {
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	Instances []fleet.Peer // of the fleet; empty if unknown
 	NextFence fleet.Fence
 	Services  map[fleet.ServiceID][]RecordShard
+	// Holds is the longest validity of the grants of each service.
+	Holds map[fleet.ServiceID]time.Duration
 }
 
 // RecordShard is a shard in a Record. Moving means that an upstream other than Holder
@@ -64,7 +67,7 @@
 	}
 	co.recordDirty, co.overstatedSince = false, time.Time{}
 	co.savedEra = era
-	rec := Record{Era: era, Instances: co.instances, NextFence: co.nextFence, Services: make(map[fleet.ServiceID][]RecordShard)}
+	rec := Record{Era: era, Instances: co.instances, NextFence: co.nextFence, Services: make(map[fleet.ServiceID][]RecordShard), Holds: make(map[fleet.ServiceID]time.Duration)}
 	type savedShard struct {
 		p     *shard
 		next  *transfer
@@ -72,6 +75,8 @@
 	}
 	var savedShards []savedShard
 	for id, s := range co.services {
+		s.savedHold = max(s.hold, s.recordedHold)
+		rec.Holds[id] = s.savedHold
 		for _, sh := range s.shards {
 			savedShards = append(savedShards, savedShard{sh, sh.next, sh.fence})
 			r := RecordShard{Span: sh.Span, Holder: sh.holder, Boot: sh.boot, Fence: sh.fence, Moving: !sh.blockedUntil.IsZero()}
@@ -82,6 +87,9 @@
 		}
 	}
 	markRecorded := func() {
+		for id, hold := range rec.Holds {
+			co.services[id].recordedHold = hold
+		}
 		for _, v := range savedShards {
 			if v.p.next == v.next && v.p.fence == v.fence {
 				v.p.recorded = true
@@ -121,14 +129,16 @@
 	}
 	e.FieldStart("next-fence")
 	e.UInt64(uint64(r.NextFence))
-	e.FieldStart("services")
+	e.FieldStart("holds-ms")
 	e.ObjStart()
-	ids := make([]fleet.ServiceID, 0, len(r.Services))
-	for id := range r.Services {
-		ids = append(ids, id)
+	for _, id := range slices.Sorted(maps.Keys(r.Holds)) {
+		e.FieldStart(string(id))
+		e.Int64(r.Holds[id].Milliseconds())
 	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	e.ObjEnd()
+	e.FieldStart("services")
+	e.ObjStart()
+	for _, id := range slices.Sorted(maps.Keys(r.Services)) {
 		e.FieldStart(string(id))
 		e.ArrStart()
 		for _, p := range r.Services[id] {
@@ -158,10 +168,13 @@
 	e.ObjEnd()
 }
 
+// maxRecordedHold bounds the validity of grants in a record. Platforms allow some seconds.
+const maxRecordedHold = time.Minute
+
 // DecodeRecord parses the output of Encode and checks that the spans of each service
 // cover all keys in order.
 func DecodeRecord(data []byte) (Record, error) {
-	r := Record{Services: make(map[fleet.ServiceID][]RecordShard)}
+	r := Record{Services: make(map[fleet.ServiceID][]RecordShard), Holds: make(map[fleet.ServiceID]time.Duration)}
 	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, field string) error {
 		switch field {
 		case "peers":
@@ -176,6 +189,15 @@
 			n, err := d.UInt64()
 			r.NextFence = fleet.Fence(n)
 			return err
+		case "holds-ms":
+			return d.Obj(func(d *jx.Decoder, id string) error {
+				ms, err := d.Int64()
+				if err == nil && (ms < 0 || ms > maxRecordedHold.Milliseconds()) {
+					err = errors.Errorf("holds-ms: service %q: want 0 to %d, not %d", id, maxRecordedHold.Milliseconds(), ms)
+				}
+				r.Holds[fleet.ServiceID(id)] = time.Duration(ms) * time.Millisecond
+				return err
+			})
 		case "services":
 			return d.Obj(func(d *jx.Decoder, id string) error {
 				return d.Arr(func(d *jx.Decoder) error {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -26,6 +26,8 @@
 
 	routesByHost map[string][]*Route // by canonical host, longest prefix first
 	accountByKey map[fleet.CallerKeyHash]fleet.AccountID
+
+	longestTargets map[fleet.ServiceID]time.Duration
 }
 
 // Service is a group of upstreams.
@@ -67,6 +69,7 @@
 	t := &Table{
 		Version: v, Services: make(map[fleet.ServiceID]Service), Accounts: make(map[fleet.AccountID]Account),
 		routesByHost: make(map[string][]*Route), accountByKey: keys,
+		longestTargets: make(map[fleet.ServiceID]time.Duration),
 	}
 	for _, s := range services {
 		t.Services[s.ID] = s
@@ -78,6 +81,9 @@
 		host := canonicalHost(list[i].Host)
 		t.routesByHost[host] = append(t.routesByHost[host], &list[i])
 		t.Problems = append(t.Problems, t.problems(&list[i])...)
+		for _, p := range list[i].TrafficShares {
+			t.longestTargets[p.Service] = max(t.longestTargets[p.Service], list[i].Target)
+		}
 	}
 	for _, hostRoutes := range t.routesByHost {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -104,6 +110,9 @@
 	return strings.ToLower(name)
 }
 
+// LongestTarget returns the longest target latency of the routes that lead to a service.
+func (t *Table) LongestTarget(id fleet.ServiceID) time.Duration { return t.longestTargets[id] }
+
 // Match returns the route of host with the longest matching prefix of path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.routesByHost[canonicalHost(host)] {
