--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -23,10 +23,9 @@
 	cutByInstance = "instance" // its deadline passed, or the instance stops
 )
 
-// copyStream passes the streamed body of out on to the caller. If it cannot be completed,
-// the caller's connection is reset: bytes have been sent, so that no other upstream may
-// complete the response.
-// ctx ends when the caller disconnects.
+// copyStream passes the streamed body of out on to the caller. ctx ends when the caller
+// disconnects. If the response cannot be completed, the caller's connection is reset: bytes
+// have been sent, so that no other upstream may complete it.
 func (r *Router) copyStream(ctx context.Context, w http.ResponseWriter, x *exchange, out outcome) {
 	defer out.stream.Close()
 	buf := streamBuffers.Get().(*[streamChunk]byte)
