--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,7 @@
 // rule was broken.
 type scenario func(g *rig, trouble bool) (broken bool, err error)
 
-var scenarios = map[string]scenario{"uploads": playUploads}
+var scenarios = map[string]scenario{"uploads": playUploads, "lengths": playLengths}
 
 func main() { os.Exit(run(os.Args)) }
 
