--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,10 +21,11 @@
 func main() { os.Exit(run(os.Args)) }
 
 // run plays the scenario that the first argument names with the program that the second
-// names, and writes the record to the file that the third names.
+// names, and writes the record to the file that the third names. The fourth is "with" or
+// "without", for the disruption.
 func run(args []string) int {
-	if len(args) != 4 || scenarios[args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin SCENARIO PROGRAM RECORD")
+	if len(args) != 5 || scenarios[args[1]] == nil || args[4] != "with" && args[4] != "without" {
+		fmt.Fprintln(os.Stderr, "usage: standin SCENARIO PROGRAM RECORD with|without")
 		return exitNotRun
 	}
 	out, err := os.Create(args[3])
@@ -38,7 +39,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	broken, err := scenarios[args[1]](g, os.Getenv("TROUBLE") != "0")
+	g.notef("%s the disruption", args[4])
+	broken, err := scenarios[args[1]](g, args[4] == "with")
 	g.close()
 	switch {
 	case err != nil:
