http1: serve a request that was read before its connection was found idle

What callers saw: a whole request on a kept connection got neither an answer nor a refusal, beside a shutdown or at the idle timeout.

Cause: closeIdle decided on another goroutine than the one that reads. A request whose bytes had been read, while the reading goroutine had not yet registered it, was dropped and its connection closed. An instance that has used up its share of a core stands still for tens of milliseconds between the two.

Change: closeIdle only wakes the read loop, which closes the connection if it has read nothing. A request that crosses the close stays unread, as before.

--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -81,7 +81,7 @@
 	}
 	pipe.newest, pipe.pending = slot, slot
 	pipe.inFlight++
-	pipe.conn.unparsed = 0
+	pipe.conn.unparsed, pipe.conn.expired = 0, ""
 	pipe.rejecting = r.Close // no request may follow one that asks to close the connection
 	s.waitingSlots[r] = slot
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -210,14 +210,16 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for timeout, counted from start
-// at the earliest. It returns the number of connections that were open before. A request
-// that arrives afterwards does not start, as both are decided under the lock.
+// closeIdle makes the connections close that have been idle for timeout, counted from
+// start at the earliest. It returns the number of connections that are open. Their read
+// loops close them, because only these know whether bytes of a request have been read: a
+// request that has been read is served, and one that has not stays unread, so that its
+// caller may repeat it.
 func (s *Server) closeIdle(now, start time.Time, timeout time.Duration, cause CloseCause) int {
 	s.mu.Lock()
-	var expired []*serverConn
+	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.closing || len(c.inFlight) > 0 || c.pipeline.inFlight > 0 {
+		if c.closing || c.expired != "" || len(c.inFlight) > 0 || c.pipeline.inFlight > 0 {
 			continue // a request may have arrived whose goroutine has not started or not ended
 		}
 		since := c.idleSince
@@ -225,16 +227,11 @@
 			since = start
 		}
 		if now.Sub(since) >= timeout {
-			expired = append(expired, c)
-			c.setClosing(cause, true)
+			c.expired = cause
+			_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read loop; fails only on a closed connection
 		}
 	}
-	open := len(s.conns)
-	s.mu.Unlock()
-	for _, c := range expired {
-		_ = c.Conn.Close() // a request that crosses the close stays unread, so that its caller may repeat it
-	}
-	return open
+	return len(s.conns)
 }
 
 // Close stops the server immediately and aborts the requests in flight.
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -31,6 +31,7 @@
 	inFlight     map[*exchange]struct{} // started requests
 	unparsed     int                    // bytes read since the last complete request
 	idleSince    time.Time              // when the last request ended; not meaningful while requests are in flight
+	expired      CloseCause             // why the read loop is to close the connection if it has read nothing; empty: it is not
 	closing      bool                   // the server has closed the connection or is about to close it
 	closed       bool                   // the read loop has ended
 	cause        CloseCause             // why the connection closes; empty until that is known
@@ -44,6 +45,9 @@
 	for err == nil {
 		var n int
 		n, err = c.Conn.Read(buf)
+		if err = c.applyExpiry(n, err); err != nil {
+			break
+		}
 		if n > 0 && !c.isClosing() && (parser.Parse(buf[:n]) != nil || !c.withinReadLimit(n)) {
 			c.reject(ClosedInvalid)
 		}
@@ -54,6 +58,23 @@
 	c.server.removeConn(c)
 }
 
+// applyExpiry decides, after a read that returned n and err, whether a connection that
+// closeIdle has marked as expired closes. It returns the error that ends the read loop.
+func (c *serverConn) applyExpiry(n int, err error) error {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	switch {
+	case c.closing, err != nil && !timedOut, err == nil && c.expired == "":
+		return err
+	case n == 0 && c.expired != "":
+		c.setClosing(c.expired, true)
+		return err
+	}
+	c.expired = ""
+	return c.Conn.SetReadDeadline(time.Time{})
+}
+
 func (c *serverConn) isClosing() bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
