http1: answer callers that close only their sending side

What callers saw: a caller that closed its sending side after its requests got neither an answer nor a refusal, and its requests were cut off at their upstreams.

Cause: TCP signals the end of the sending side and a caller that has left in the same way, and the server took the one for the other. The class: one signal with two meanings is taken for one of them.

Change: the server sends interim responses, which every HTTP/1.1 client accepts. A caller that has left resets the connection, so that a later one fails and the requests are cancelled; a caller that still reads gets its responses. HTTP/1.0 has no interim responses: there the end of the sending side still counts as leaving.

The metric of closed connections counts the two apart.

--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -21,6 +21,8 @@
 	conn      *serverConn
 	newest    *responseSlot // slot of the most recent request
 	pending   *responseSlot // slot of the request that has arrived and was not executed yet
+	writing   *responseSlot // slot of the response that is being written; nil if there is none
+	http10    bool          // a request was in HTTP/1.0
 	inFlight  int           // requests
 	rejecting bool          // a request was rejected: the connection closes after those in flight
 }
@@ -81,6 +83,7 @@
 	}
 	pipe.newest, pipe.pending = slot, slot
 	pipe.inFlight++
+	pipe.http10 = pipe.http10 || !r.ProtoAtLeast(1, 1)
 	pipe.conn.unparsed, pipe.conn.expired = 0, ""
 	pipe.rejecting = r.Close // no request may follow one that asks to close the connection
 	s.waitingSlots[r] = slot
@@ -92,6 +95,9 @@
 	s.mu.Lock()
 	pipe := slot.pipeline
 	pipe.inFlight--
+	if pipe.writing == slot {
+		pipe.writing = nil
+	}
 	pipe.conn.slotFinished.Signal()
 	closeConn := pipe.rejecting && pipe.inFlight == 0
 	if closeConn {
@@ -212,10 +218,13 @@
 // whether the connection closes after it. It does if the server drains, unless a
 // later request has started on the connection, whose response would be lost.
 func (s *Server) beginResponse(x *exchange, slot *responseSlot) bool {
+	x.conn.interimMu.Lock()
+	defer x.conn.interimMu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if slot != nil {
 		slot.responseStarted = true
+		slot.pipeline.writing = slot
 	}
 	if !s.draining.Load() || slot != nil && slot.pipeline.newest != slot {
 		return false
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -31,6 +31,7 @@
 // The causes of closed connections.
 const (
 	ClosedByPeer   CloseCause = "peer"          // closed or reset by the peer, or lost
+	ClosedHalf     CloseCause = "half-closed"   // by the peer in its sending direction only; its last requests were answered
 	ClosedByServer CloseCause = "server"        // during a shutdown, or after a response that announced it
 	ClosedIdle     CloseCause = "read-timeout"  // no complete request within ReadTimeout
 	ClosedUnread   CloseCause = "write-timeout" // the peer did not read its response
@@ -58,7 +59,8 @@
 
 // Server is an HTTP/1.1 server on one address. Pipelined requests run concurrently,
 // and their responses are written in order. The context of a request is cancelled
-// when its caller disconnects.
+// when its caller disconnects. A caller that only closes its sending side after its
+// requests still gets their responses.
 //
 // It uses nbhttp's parser and responses, but not its event loop: that closes descriptors
 // on other goroutines than the one that polls them, which then applies events of a
@@ -247,6 +249,7 @@
 	_ = s.listener.Close()
 	for c := range s.conns {
 		c.setClosing(ClosedByServer, true)
+		c.wakeHalfClosed()
 		_ = c.Conn.Close()
 	}
 }
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -24,6 +25,8 @@
 type serverConn struct {
 	net.Conn
 	server *Server
+	// interimMu keeps an interim response from being written while a response is.
+	interimMu sync.Mutex
 
 	// The following fields are guarded by Server.mu.
 	slotFinished *sync.Cond // signalled by finishSlot
@@ -32,6 +35,7 @@
 	unparsed     int                    // bytes read since the last complete request
 	idleSince    time.Time              // when the last request ended; not meaningful while requests are in flight
 	expired      CloseCause             // why the read loop is to close the connection if it has read nothing; empty: it is not
+	halfClosed   chan struct{}          // made when the peer has closed its sending side, closed when the connection fails after that
 	closing      bool                   // the server has closed the connection or is about to close it
 	closed       bool                   // the read loop has ended
 	cause        CloseCause             // why the connection closes; empty until that is known
@@ -53,6 +57,9 @@
 		}
 		c.awaitPipeline()
 	}
+	if err == io.EOF {
+		c.serveHalfClosed()
+	}
 	_ = c.Conn.Close()
 	parser.CloseAndClean(err)
 	c.server.removeConn(c)
@@ -164,6 +171,7 @@
 	}
 	c.server.mu.Lock()
 	c.setClosing(cause, true)
+	c.wakeHalfClosed()
 	c.server.mu.Unlock()
 	_ = c.Conn.Close()
 }
