hangup: receive SIGHUP from the start of the process on

What callers saw: none yet. The platform signals changed settings with SIGHUP; one beside a restart ended the new process by itself, so that the instance stayed away for longer.

Cause: the signal was received only by the loop that reads the settings, which starts last. Until then its default action ends the process. Of the about 6 ms from exec to that loop on an idle core, the initialization of packages took 5 ms (@1.0 ms os/signal, @4.5 ms main), reading the settings and listening the rest.

Change: package hangup receives the signal in its init function. The signal is kept until the loop runs. It is received until the process ends, so that one at the very end of a shutdown cannot end the process either. Commands of operators restore the default action.

--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/parsleyproxy/parsleyproxy/internal/direct"
+	"github.com/parsleyproxy/parsleyproxy/internal/hangup"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/logs"
 	"github.com/parsleyproxy/parsleyproxy/platform"
@@ -104,6 +105,7 @@
 	external := direct.Platform{
 		Store: platform.NewStore(cfg.Store, http1.NewTransport(storeTransport), metrics.StoreCall), Holders: platform.Holders{Client: http1.NewTransport(holderTransport)},
 		Protocol: platform.Protocol{}, UpstreamTransport: http1.NewTransport(upstreamTransport), DecodeConfiguration: platform.DecodeConfig, ReadSettings: func() (direct.Settings, error) { return platform.ReadSettings(path) },
+		SettingsSignals: hangup.Received(),
 	}
 	return direct.New(cfg, external, metrics, log).Run(ctx)
 }
--- a/cmd/parsleyproxy/main.go
+++ b/cmd/parsleyproxy/main.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/hangup"
 )
 
 func main() {
@@ -43,6 +45,7 @@
 		ConfigureShellCompletionCommand: func(c *cli.Command) {
 			c.Hidden = false
 		},
+		Before:         restoreHangup,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // run prints the error
 		Commands: []*cli.Command{
 			serveCommand(),
@@ -61,6 +64,14 @@
 	return root
 }
 
+// restoreHangup lets SIGHUP end all commands but those that handle it.
+func restoreHangup(ctx context.Context, cmd *cli.Command) (context.Context, error) {
+	if cmd.Args().First() == "front" {
+		return ctx, nil
+	}
+	return ctx, hangup.RestoreDefault()
+}
+
 // configureCommand sets up c and its subcommands: usage errors become usageErrors,
 // which exit with codeBadInput, and a command that only groups subcommands reports a
 // missing or unknown subcommand.
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -21,6 +21,7 @@
 	"maps"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -247,4 +248,7 @@
 	DecodeConfiguration func(source []byte) (*routes.Table, error)
 	// ReadSettings reads the current settings.
 	ReadSettings func() (Settings, error)
+	// SettingsSignals receives signals on which the settings are read at once; nil: there are
+	// none.
+	SettingsSignals <-chan os.Signal
 }
--- a/internal/direct/reload.go
+++ b/internal/direct/reload.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
@@ -18,9 +15,6 @@
 // watchSettings applies changed settings: the quota tolerance, the retry limit and the
 // shutdown grace time. Addresses and the instance's identity only change on a restart.
 func (r *Router) watchSettings(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
 	for {
@@ -28,7 +22,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-r.platform.SettingsSignals:
 			signalled = true
 		case <-tick.C:
 		}
