cmd/parsleyproxy: SIGHUP does not end the role serve

What callers saw: a SIGHUP ended an instance of the role serve at once, so that its requests in progress got no answer.

Cause: only the role front received the signal; its default action ends a process.

Evidence: TestHangupDoesNotEndServe failed before with "signal: hangup".

Change: the role receives the signal and does nothing, since its settings are read at the start only. An instance is stopped with SIGTERM, which drains it.

Result: the test passes.

--- a/cmd/parsleyproxy/commands.go
+++ b/cmd/parsleyproxy/commands.go
@@ -17,7 +17,7 @@
 		Name:  "serve",
 		Usage: "run an instance",
 		Description: "Secrets come from files or from " + settings.EnvFleetSecret + " and " + settings.EnvOperatorToken + ".\n" +
-			"SIGTERM drains the instance and stops it.",
+			"SIGTERM drains the instance and stops it. SIGHUP has no effect: settings are read at the start only.",
 		Flags: settings.Flags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if err := requireArgs(cmd); err != nil {
--- a/cmd/parsleyproxy/main.go
+++ b/cmd/parsleyproxy/main.go
@@ -64,9 +64,10 @@
 	return root
 }
 
-// restoreHangup lets SIGHUP end all commands but those that handle it.
+// restoreHangup lets SIGHUP end all commands but those that run an instance.
 func restoreHangup(ctx context.Context, cmd *cli.Command) (context.Context, error) {
-	if cmd.Args().First() == "front" {
+	switch cmd.Args().First() {
+	case "front", "serve":
 		return ctx, nil
 	}
 	return ctx, hangup.RestoreDefault()
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -95,26 +95,46 @@
 	}
 }
 
-// Guards against commands of operators that go on after their terminal has been closed.
-func TestHangupEndsCommands(t *testing.T) {
-	name := filepath.Join(t.TempDir(), "catalogue")
+// hangUpWhileReading runs the program with the name of a pipe as its last argument, sends
+// SIGHUP while it reads the pipe, writes content, and returns how the process ended.
+func hangUpWhileReading(t *testing.T, content string, args ...string) error {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "pipe")
 	if err := syscall.Mkfifo(name, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(program, "catalogue", "check", name)
+	cmd := exec.Command(program, append(args, name)...)
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	pipe, err := os.OpenFile(name, os.O_WRONLY, 0) // returns once the command reads the file
+	defer time.AfterFunc(5*time.Second, func() { _ = cmd.Process.Kill() }).Stop()
+	pipe, err := os.OpenFile(name, os.O_WRONLY, 0) // returns once the process reads the pipe
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = pipe.Close() }()
-	time.AfterFunc(5*time.Second, func() { _ = cmd.Process.Kill() })
 	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
-	if err := cmd.Wait(); err == nil || err.Error() != "signal: hangup" {
+	time.Sleep(50 * time.Millisecond)
+	_, _ = pipe.WriteString(content) // fails if the process has ended
+	_ = pipe.Close()
+	return cmd.Wait()
+}
+
+// Guards against commands of operators that go on after their terminal has been closed.
+func TestHangupEndsCommands(t *testing.T) {
+	if err := hangUpWhileReading(t, "", "catalogue", "check"); err == nil || err.Error() != "signal: hangup" {
 		t.Errorf("the command ended with %v, want signal: hangup", err)
 	}
 }
+
+// Guards against an instance of the role serve that a SIGHUP ends at once, with the requests
+// in progress.
+func TestHangupDoesNotEndServe(t *testing.T) {
+	t.Setenv("PARSLEY_OPERATOR_TOKEN", strings.Repeat("o", 16))
+	err := hangUpWhileReading(t, strings.Repeat("s", 32), "serve", "--check", "--instance", "i1", "--zone", "z1", "--store", "127.0.0.1:1", "--list", "127.0.0.1:1",
+		"--advertise-peer", "127.0.0.1:1", "--advertise-forward", "127.0.0.1:2", "--fleet-secret-file")
+	if err != nil {
+		t.Errorf("the process ended with %v, want success", err)
+	}
+}
