cmd/parsleyproxy: an instance whose log has no reader goes on

What callers saw: when the reader of an instance's log ended, the instance ended with the next log line, and its requests in progress got no answer.

Cause: a write to a pipe without a reader raises SIGPIPE. Go ignores it, except for writes to standard output and standard error, which end the process.

Evidence: TestLogWithoutReader failed before: "the instance ended with signal: broken pipe".

Change: the roles front and serve ignore the signal, so that the write fails instead; its error is ignored already. Commands of operators still end.

Result: the test passes.

--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -93,6 +93,7 @@
 // runFront runs an instance on the users' platform. It returns after ctx is cancelled
 // and the instance has shut down.
 func runFront(ctx context.Context, path string, cfg direct.Settings, level hclog.Level) error {
+	keepServingWithoutLog()
 	metrics := direct.NewMetrics()
 	log := hclog.New(&hclog.LoggerOptions{Level: level, Output: logs.NewWriter(os.Stdout, metrics.LogDropped), JSONFormat: true})
 	upstreamTransport := http1.TransportConfig{DialTimeout: frontDialTimeout, IdleTimeout: frontIdleTimeout, MaxBody: frontMaxResponseBody, MaxIdlePerAddr: frontMaxIdleConns, RejectsExcessConns: true, Bodies: upstreamBodyBudget(cfg.MaxMemory)}
--- a/cmd/parsleyproxy/main.go
+++ b/cmd/parsleyproxy/main.go
@@ -73,6 +73,10 @@
 	return ctx, hangup.RestoreDefault()
 }
 
+// keepServingWithoutLog makes writes to a log that nobody reads fail. By default Go ends a
+// process with SIGPIPE if such a write is to standard output or standard error.
+func keepServingWithoutLog() { signal.Ignore(syscall.SIGPIPE) }
+
 // configureCommand sets up c and its subcommands: usage errors become usageErrors,
 // which exit with codeBadInput, and a command that only groups subcommands reports a
 // missing or unknown subcommand.
--- a/cmd/parsleyproxy/serve.go
+++ b/cmd/parsleyproxy/serve.go
@@ -13,6 +13,7 @@
 // runServe runs an instance. It returns after ctx is cancelled and the instance has
 // shut down. Tests replace it.
 var runServe = func(ctx context.Context, cfg settings.Serve) error {
+	keepServingWithoutLog()
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: "parsleyproxy", Level: cfg.LogLevel, Output: os.Stderr, JSONFormat: cfg.LogFormat == settings.LogJSON,
 	})
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
 	"os"
 	"os/exec"
@@ -138,3 +139,39 @@
 		t.Errorf("the process ended with %v, want success", err)
 	}
 }
+
+// Guards against an instance that ends when nobody reads its log any more.
+func TestLogWithoutReader(t *testing.T) {
+	in, settings := newSingleInstance(t)
+	if err := os.Remove(in.settingsPath()); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(in.settingsPath(), []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program, "front")
+	cmd.Env = append(os.Environ(), "PARSLEYPROXY_BOOT="+in.settingsPath())
+	log, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	exited := make(chan error, 1)
+	if _, err := bufio.NewReader(log).ReadString('\n'); err != nil {
+		t.Error(err)
+	}
+	_ = log.Close()
+	go func() { exited <- cmd.Wait() }()
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil { // logs that the settings were read
+		t.Error(err)
+	}
+	select {
+	case err := <-exited:
+		t.Fatalf("the instance ended with %v", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+	_ = cmd.Process.Kill()
+	<-exited
+}
