--- a/cmd/parsleyproxy/main.go
+++ b/cmd/parsleyproxy/main.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/hangup"
 )
 
 func main() {
@@ -43,6 +45,7 @@
 		ConfigureShellCompletionCommand: func(c *cli.Command) {
 			c.Hidden = false
 		},
+		Before:         restoreHangup,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // run prints the error
 		Commands: []*cli.Command{
 			serveCommand(),
@@ -61,6 +64,19 @@
 	return root
 }
 
+// restoreHangup lets SIGHUP end all commands but those that run an instance.
+func restoreHangup(ctx context.Context, cmd *cli.Command) (context.Context, error) {
+	switch cmd.Args().First() {
+	case "front", "serve":
+		return ctx, nil
+	}
+	return ctx, hangup.RestoreDefault()
+}
+
+// keepServingWithoutLog makes writes to a log that nobody reads fail. By default Go ends a
+// process with SIGPIPE if such a write is to standard output or standard error.
+func keepServingWithoutLog() { signal.Ignore(syscall.SIGPIPE) }
+
 // configureCommand sets up c and its subcommands: usage errors become usageErrors,
 // which exit with codeBadInput, and a command that only groups subcommands reports a
 // missing or unknown subcommand.
