direct: changed settings keep the retries that were counted

What callers saw: nothing by themselves. A service could get more repeats than the platform allows, which loads it while it fails.

Cause: when the retry limit changed, each service got a new budget with half of its allowance in it, as if nothing had been repeated before.

Change: a budget gets the new limit and keeps its tokens.

--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -24,6 +24,11 @@
 	return &RetryBudget{ratio: ratio, extra: float64(extra), window: window}
 }
 
+// SetLimit replaces the limit. Retries that were counted before still count.
+func (b *RetryBudget) SetLimit(ratio float64, extra int, window time.Duration) {
+	b.ratio, b.extra, b.window = ratio, float64(extra), window
+}
+
 func (b *RetryBudget) refill(now time.Time, instances int) {
 	share := b.extra * budgetUse / float64(max(instances, 1))
 	if b.lastRefill.IsZero() {
--- a/internal/direct/reload.go
+++ b/internal/direct/reload.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/parsleyproxy/parsleyproxy/internal/balance"
-	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
 // reloadInterval is the time between two reads of the settings, which may change
@@ -44,7 +41,9 @@
 		r.cfg.ShutdownGrace, r.cfg.LeavingUse = next.ShutdownGrace, next.LeavingUse
 		if next.Retry != r.cfg.Retry {
 			r.cfg.Retry = next.Retry
-			r.retryBudgets = make(map[fleet.ServiceID]*balance.RetryBudget)
+			for _, b := range r.retryBudgets {
+				b.SetLimit(next.Retry.Ratio, next.Retry.Extra, next.Retry.Window)
+			}
 		}
 		if next.Quota != r.cfg.Quota {
 			r.cfg.Quota = next.Quota
