soak: series of changes, signals and restarts beside four kinds of callers

TestSeries starts three instances and eight callers for each: with one request at a time (a quarter of them sent in two parts), pipelined, closing their sending side after the last request, and with Connection: close. Beside them configurations, settings, SIGHUP and SIGTERM with a restart follow each other every 20 to 200 ms and overlap. It checks that a request that was passed on, or sent 200 ms before its connection ends, has an answer, and what TestSoak checks.

Settings files are replaced by renaming, because instances read them at any time.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -169,10 +169,12 @@
 	})
 }
 
-// terminateInstance ends a process with SIGTERM, as the platform does for a planned
-// restart, and starts it again. The process must exit within the grace period.
-func (env *testEnv) terminateInstance(g *sync.WaitGroup) {
-	in := env.anyInstance()
+// terminateInstance terminates and restarts a random instance.
+func (env *testEnv) terminateInstance(g *sync.WaitGroup) { env.terminate(env.anyInstance(), g) }
+
+// terminate ends a process with SIGTERM, as the platform does for a planned restart, and
+// starts it again. The process must exit within the grace period.
+func (env *testEnv) terminate(in *instance, g *sync.WaitGroup) {
 	if !in.beginFault(gracePeriod, true) {
 		return
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,11 @@
 //
 //	make soak SEEDS=50 FIRST=1000
 //
+// TestSeries has no faults but only planned work, at a higher rate, and callers that use
+// their connections in different ways. Other seeds of it:
+//
+//	go test -timeout 30m -parallel 3 ./soak -run TestSeries -series-seeds 50 -series-first 1000
+//
 // Not covered are clock jumps, because setting the clock needs privileges, and faults of
 // links between instances: a paused process stands in for a peer that does not answer.
 // Disk faults do not apply, because instances store nothing on disk.
@@ -157,9 +162,15 @@
 		return
 	}
 	t.Errorf("%d guarantees broken:\n%s\nfaults:\n%s", len(violations), strings.Join(violations[:min(len(violations), 20)], "\n"), strings.Join(env.faultLog, "\n"))
-	if *keepDir != "" {
-		if err := os.CopyFS(filepath.Join(*keepDir, fmt.Sprint("seed-", seed)), os.DirFS(env.dir)); err != nil {
-			t.Error(err)
-		}
+	env.keepLogs(seed)
+}
+
+// keepLogs copies the logs of a failed run to keepDir, if that is set.
+func (env *testEnv) keepLogs(seed uint64) {
+	if *keepDir == "" {
+		return
+	}
+	if err := os.CopyFS(filepath.Join(*keepDir, fmt.Sprint("seed-", seed)), os.DirFS(env.dir)); err != nil {
+		env.t.Error(err)
 	}
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -91,10 +91,13 @@
 	mu           sync.Mutex
 	cmd          *exec.Cmd
 	exited       chan struct{}
+	processAt    time.Time     // start of the current process
 	disturbances []disturbance // of the process or its links
 	faultActive  bool          // an injected fault has not ended
 	ready        bool          // according to the probes of the load balancer
 	failedProbes int           // consecutive
+
+	settingsChanges int // changes of the settings; each moves two bounds by one
 }
 
 // upstream is a test double of an upstream with its entry in the store, reached through a
@@ -160,6 +163,9 @@
 	return env
 }
 
+// settingsWrites counts the files of settings written; it makes their names unique.
+var settingsWrites atomic.Int64
+
 // zoneForIndex spreads indexes over three zones.
 func zoneForIndex(i int) string { return fmt.Sprint("z", i%3+1) }
 
@@ -304,11 +310,19 @@
 			env.t.Fatal(err)
 		}
 	}
+	in.mu.Lock()
+	changes := in.settingsChanges
+	in.mu.Unlock()
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":%q,"bootstrap":%t,"listen":{"front":"%s:8388","ready":"%s:8384","control":"%s:8381"},
  "limits":{"memoryMb":284,"cpuShare":1,"cpuCores":1},"platform":{"address":"%s:8400","ttlMin":"1000ms"},
- "bounds":{"grace":"%dms","budgetRatio":0.2,"budgetExtra":60,"budgetWindow":"10s","quotaWindow":"5s","quotaOverage":%v,"quotaSlack":%d,"holdMax":"10000ms"}}`,
-		in.name, in.zone, firstStart, in.ip, in.ip, in.ip, in.ip, gracePeriod.Milliseconds(), quotaOverage, quotaSlack)
-	if err := os.WriteFile(in.settingsPath(), []byte(text), 0o600); err != nil {
+ "bounds":{"grace":"%dms","budgetRatio":0.2,"budgetExtra":%d,"budgetWindow":"10s","quotaWindow":"5s","quotaOverage":%v,"quotaSlack":%d,"holdMax":"10000ms"}}`,
+		in.name, in.zone, firstStart, in.ip, in.ip, in.ip, in.ip, gracePeriod.Milliseconds(), 60-changes%2, quotaOverage, quotaSlack-changes%2)
+	// The instance may read the settings at any time.
+	next := filepath.Join(env.dir, in.name+fmt.Sprint(".next-", settingsWrites.Add(1)))
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		env.t.Error(err)
+	}
+	if err := os.Rename(next, in.settingsPath()); err != nil {
 		env.t.Error(err)
 	}
 }
@@ -331,7 +345,7 @@
 		return
 	}
 	exited := make(chan struct{})
-	in.cmd, in.exited = cmd, exited
+	in.cmd, in.exited, in.processAt = cmd, exited, time.Now()
 	go func() {
 		_ = cmd.Wait() // returns an error for killed processes
 		_ = out.Close()
