cmd/parsleyproxy: a second SIGTERM does not replace the exit code

What callers saw: nothing; an instance that had shut down completely was reported as ended by a signal.

Cause: main restored the default action of SIGTERM before it exited.

Evidence: 60 instances that got SIGTERM and SIGHUP every 0.5 ms from the start of their shutdown on: 4 ended with "signal: terminated" before. The window is too short for a test that always shows it.

Change: the signals are not restored.

--- a/cmd/parsleyproxy/main.go
+++ b/cmd/parsleyproxy/main.go
@@ -17,10 +17,10 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args, os.Stdin, os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+	// The signals are never restored, so that another one cannot replace the exit code of a
+	// command that has completed.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	os.Exit(run(ctx, os.Args, os.Stdin, os.Stdout, os.Stderr))
 }
 
 // run executes one command line and returns the exit code. Results are written to
