http1: bound the memory of request bodies

What callers saw: a few large uploads at the same time took an instance over its memory limit. The platform killed it, and all requests in progress on its kept connections ended without an answer, though they had run. A request that was being received during a shutdown was cut off after 350 ms, and a caller with "Expect: 100-continue" got no interim response.

Cause: bodies of requests had no budget. nbhttp's parser caches a body whole in a buffer that grows by copying, copies it into its reader, direct copied it again, and the transport once more behind the head. The class: memory that callers decide on has no bound for the process.

Change: the server reads the head of a request, passes it to nbhttp's parser without the lines that frame the body, and reads the body itself into chunks that are not copied again. Each is taken from a budget before it is filled: a quarter of the memory limit for all bodies, beside 0.4 for responses, and a twentieth for the first 64 KiB of each. A request without room gets 503 with Retry-After, one over the maximum 413, a head over 64 KiB 431, a malformed one 400, each after the responses to the requests before it. The rest of a refused body is read and dropped for up to 10 s, which a shutdown does not await.

--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -68,7 +68,7 @@
 	r.mu.Unlock()
 	a := attempt{upstream: upstream, id: run.ID}
 	req := &http1.Request{
-		Method: x.method, Target: x.target, Host: x.host, Body: x.body, Attempts: &x.attemptGroup, Stream: true,
+		Method: x.method, Target: x.target, Host: x.host, Chunks: x.body, Attempts: &x.attemptGroup, Stream: true,
 		BeforeWrite: func() error { return r.checkSend(time.Now(), x, upstream) },
 		Header:      r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -165,7 +165,11 @@
 		debug.SetMemoryLimit(int64(float64(r.cfg.MaxMemory) * memoryLimitShare))
 	}
 	r.log.Info("instance started", "instance", r.cfg.Instance, "boot", r.boot, "zone", r.cfg.Zone, "store", r.cfg.Store)
-	callers, err := http1.Listen(http1.ServerConfig{Addr: r.cfg.CallerListen, Handler: http.HandlerFunc(r.serve), ReadTimeout: serverReadTimeout, MaxBody: maxCallerBody, OnClosed: r.callerConnClosed})
+	bodies, smallBodies := requestBodyBudgets(r.cfg.MaxMemory)
+	callers, err := http1.Listen(http1.ServerConfig{
+		Addr: r.cfg.CallerListen, Handler: http.HandlerFunc(r.serve), ReadTimeout: serverReadTimeout,
+		MaxBody: maxCallerBody, Bodies: bodies, SmallBodies: smallBodies, OnClosed: r.callerConnClosed,
+	})
 	if err != nil {
 		return err
 	}
@@ -219,8 +223,28 @@
 	// maxCallerBody is the maximum size of a request body in bytes. The operators'
 	// limit is 64 MiB.
 	maxCallerBody = 64 << 20
+	// maxRequestBodies is the memory in bytes of the bodies of all requests, and
+	// maxSmallBodies that of the first parts of each: 14 KiB for each of 1,000 connections
+	// on which bodies are incomplete.
+	maxRequestBodies = 96 << 20
+	maxSmallBodies   = 14 << 20
+	// requestBodiesShare and smallBodiesShare bound them to shares of the memory limit. The
+	// responses of upstreams have another 0.4. A body of the maximum size fits into 284 MiB.
+	requestBodiesShare = 0.25
+	smallBodiesShare   = 0.05
 )
 
+// requestBodyBudgets returns the budgets for the bodies of callers' requests. maxMemory is
+// the memory limit of the instance in bytes, 0 if unknown.
+func requestBodyBudgets(maxMemory int64) (bodies, smallBodies *http1.BodyBudget) {
+	size, small := int64(maxRequestBodies), int64(maxSmallBodies)
+	if maxMemory > 0 {
+		size = min(size, int64(float64(maxMemory)*requestBodiesShare))
+		small = min(small, int64(float64(maxMemory)*smallBodiesShare))
+	}
+	return http1.NewBodyBudget(size), http1.NewBodyBudget(small)
+}
+
 // shutdown fails the readiness check, continues to serve until the balancer has stopped
 // sending new connections, and returns after the last answer or shortly before SIGKILL.
 func (r *Router) shutdown(callers *http1.Server) error {
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
@@ -19,6 +20,7 @@
 	retryAfterNotReady   = 300 * time.Millisecond // until a configuration or a holder is known
 	retryAfterHolderLost = 600 * time.Millisecond // until a key whose holder was lost has a new one
 	retryAfterFull       = 120 * time.Millisecond // until slots are free
+	retryAfterBodies     = time.Second            // until memory for a body is free
 	minRetryAfterLimit   = 200 * time.Millisecond // bounds for accounts over their limits
 	maxRetryAfterLimit   = 2 * time.Second
 )
@@ -31,7 +33,7 @@
 type exchange struct {
 	method, target, host string
 	header               http.Header
-	body                 []byte
+	body                 [][]byte // in chunks
 	info                 RequestMetadata
 	receivedAt           time.Time
 	deadline             time.Time
@@ -103,8 +105,8 @@
 	if !strings.HasPrefix(x.target, "/") {
 		return refuse(http.StatusBadRequest, "bad-target", 0)
 	}
-	if x.body, err = io.ReadAll(req.Body); err != nil {
-		return refuse(http.StatusBadRequest, "bad-body", 0)
+	if x.body, err = http1.RequestBody(req); err != nil {
+		return refuseBody(err)
 	}
 	if refused, ok := r.admit(req.Context(), x); !ok {
 		return refused
@@ -123,6 +125,17 @@
 	return r.forwardToAny(ctx, x)
 }
 
+// refuseBody refuses a request whose body was not received.
+func refuseBody(err error) outcome {
+	switch {
+	case errors.Is(err, http1.ErrRequestBodyBudget):
+		return refuse(http.StatusServiceUnavailable, "body-memory", retryAfterBodies)
+	case errors.Is(err, http1.ErrRequestBodyTooLarge):
+		return refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
+	}
+	return refuse(http.StatusBadRequest, "bad-body", 0)
+}
+
 // admit determines the route, the account and the service of a request, and checks the
 // account's limit. If the request is refused, it returns the refusal and false.
 func (r *Router) admit(ctx context.Context, x *exchange) (outcome, bool) {
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -8,8 +8,8 @@
 	"github.com/go-faster/errors"
 )
 
-// BodyBudget bounds the memory that the response bodies of one or more Transports take at
-// a time. Each body may take unbudgetedBodySize beside it, so that the small responses of
+// BodyBudget bounds the memory that the response bodies of one or more Transports, or the
+// request bodies of Servers, take at a time. Each response body may take unbudgetedBodySize beside it, so that the small responses of
 // most requests neither use it up nor fail when large ones do.
 type BodyBudget struct {
 	size int64 // bytes
@@ -54,6 +54,28 @@
 	return b == nil || b.used.Load()+size*3/2-unbudgetedBodySize <= b.size
 }
 
+// reserve takes n bytes, and reports whether there was room. A nil budget has no bound.
+func (b *BodyBudget) reserve(n int64) bool {
+	if b == nil {
+		return true
+	}
+	if b.used.Add(n) > b.size {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// free returns n bytes that reserve has taken.
+func (b *BodyBudget) free(n int64) {
+	if b != nil {
+		b.used.Add(-n)
+	}
+}
+
+// left returns the number of bytes that reserve could take. b is not nil.
+func (b *BodyBudget) left() int64 { return b.size - b.used.Load() }
+
 // release returns the share of a buffer of size bytes.
 func (b *BodyBudget) release(size int64) {
 	if b != nil && size > unbudgetedBodySize {
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -89,6 +89,9 @@
 	Host   string // Host header; if empty, the address that the request is sent to
 	Header http.Header
 	Body   []byte
+	// Chunks contains the body instead of Body, in parts that are not copied. Pool does not
+	// send it.
+	Chunks [][]byte
 	// Attempts links the attempts of the request at one Transport, which then use different
 	// connections. If nil, any connection is used. Pool ignores it.
 	Attempts *AttemptGroup
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -73,20 +74,55 @@
 	if pipe.rejecting || pipe.conn.closing {
 		return
 	}
-	slot := &responseSlot{pipeline: pipe, done: make(chan struct{}), waitBeforeRun: pipe.inFlight >= maxConcurrentPerConn}
-	if pipe.newest != nil {
-		slot.prevDone = pipe.newest.done
+	if b := pipe.conn.received; b != nil {
+		pipe.conn.received = nil
+		r.Body, r.ContentLength = b, b.length()
+		r.Close = r.Close || b.err != nil // the end of the body is not known
+	}
+	slot := pipe.addSlot()
+	pipe.pending = slot
+	pipe.http10 = pipe.http10 || !r.ProtoAtLeast(1, 1)
+	pipe.conn.expired = ""
+	pipe.rejecting = r.Close // no request may follow one that asks to close the connection
+	s.waitingSlots[r] = slot
+}
+
+// addSlot adds a slot behind the newest one. The caller holds Server.mu.
+func (p *pipeline) addSlot() *responseSlot {
+	slot := &responseSlot{pipeline: p, done: make(chan struct{}), waitBeforeRun: p.inFlight >= maxConcurrentPerConn}
+	if p.newest != nil {
+		slot.prevDone = p.newest.done
 	} else {
 		closed := make(chan struct{})
 		close(closed)
 		slot.prevDone = closed
 	}
-	pipe.newest, pipe.pending = slot, slot
-	pipe.inFlight++
-	pipe.http10 = pipe.http10 || !r.ProtoAtLeast(1, 1)
-	pipe.conn.unparsed, pipe.conn.expired = 0, ""
-	pipe.rejecting = r.Close // no request may follow one that asks to close the connection
-	s.waitingSlots[r] = slot
+	p.newest = slot
+	p.inFlight++
+	return slot
+}
+
+// refuse answers a request whose head is not accepted with an empty response of the given
+// status, after the responses to the requests in flight, and makes the connection close.
+func (c *serverConn) refuse(status int) {
+	s := c.server
+	s.mu.Lock()
+	if c.closing || c.pipeline.rejecting {
+		s.mu.Unlock()
+		return
+	}
+	c.pipeline.rejecting = true
+	c.setClosing(ClosedInvalid, false)
+	slot := c.pipeline.addSlot()
+	s.mu.Unlock()
+	go func() {
+		defer s.finishSlot(slot)
+		<-slot.prevDone
+		c.interimMu.Lock()
+		defer c.interimMu.Unlock()
+		// A failed write closes the connection.
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
+	}()
 }
 
 // finishSlot releases the next response after the handler of a request has returned,
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -20,6 +20,14 @@
 	MaxBody      int           // bytes; 0 means 4 MiB
 	ReadTimeout  time.Duration // from one response to the end of the next request; 0 means 60 s
 	WriteTimeout time.Duration // without progress in sending a response; 0 means 10 s
+	// Bodies bounds the memory of the request bodies, from the bytes that have arrived until
+	// the handler has returned. A request for whose body it has no room is passed to the
+	// handler at once, and RequestBody returns ErrRequestBodyBudget. If nil, only MaxBody
+	// applies.
+	Bodies *BodyBudget
+	// SmallBodies takes the first 64 KiB of each body as long as it has room, so that small
+	// requests are received while large ones use up Bodies. It may be nil.
+	SmallBodies *BodyBudget
 	// OnClosed is called after a connection has closed, with the number of its requests
 	// whose handlers had not returned. It may be nil.
 	OnClosed func(cause CloseCause, requests int)
@@ -52,6 +60,10 @@
 	// drainIdleTimeout is how long a server that shuts down waits for another request
 	// on an idle connection before it closes the connection.
 	drainIdleTimeout = 350 * time.Millisecond
+	// discardTimeout is how long the rest of a refused body is read, so that its sender gets
+	// to the response, and discardIdleTimeout how long that waits for more of it.
+	discardTimeout     = 10 * time.Second
+	discardIdleTimeout = time.Second
 	// acceptRetryDelay is the delay after a failed accept, for example because the
 	// process has no free descriptors.
 	acceptRetryDelay = 5 * time.Millisecond
@@ -62,9 +74,10 @@
 // when its caller disconnects. A caller that only closes its sending side after its
 // requests still gets their responses.
 //
-// It uses nbhttp's parser and responses, but not its event loop: that closes descriptors
-// on other goroutines than the one that polls them, which then applies events of a
-// closed connection to a new one with the same descriptor number.
+// It uses nbhttp's parser for heads and its responses, but not its event loop: that closes
+// descriptors on other goroutines than the one that polls them, which then applies events
+// of a closed connection to a new one with the same descriptor number. It reads bodies
+// itself: nbhttp's parser caches and copies them without a bound for the process.
 type Server struct {
 	cfg      ServerConfig
 	engine   *nbhttp.Engine // not started; holds the settings of parsers
@@ -97,11 +110,10 @@
 	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "http1-server", SupportServerOnly: true,
-		MaxHTTPBodySize: cfg.MaxBody,
-		ReadLimit:       cfg.MaxBody + http.DefaultMaxHeaderBytes,
-		ServerExecutor:  func(f func()) { go f() },
-		OnRequest:       s.enqueueRequest,
-		Handler:         http.HandlerFunc(s.serve),
+		ReadLimit:      maxRequestHead,
+		ServerExecutor: func(f func()) { go f() },
+		OnRequest:      s.enqueueRequest,
+		Handler:        http.HandlerFunc(s.serve),
 	})
 	go s.accept()
 	go s.closeExpired()
@@ -213,14 +225,20 @@
 }
 
 // closeIdle makes the connections close that have been idle for timeout, counted from
-// start at the earliest. It returns the number of connections that are open. Their read
-// loops close them, because only these know whether bytes of a request have been read: a
-// request that has been read is served, and one that has not stays unread, so that its
-// caller may repeat it.
+// start at the earliest. During a shutdown a connection on which a request is being received
+// is not idle; ReadTimeout bounds it. It returns the number of connections that are open, but
+// for those on which only the rest of a refused request is discarded. Their read loops close
+// them, because only these know whether bytes of a request have been read: a request that
+// has been read is served, and one that has not stays unread, so that its caller may repeat
+// it.
 func (s *Server) closeIdle(now, start time.Time, timeout time.Duration, cause CloseCause) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	open := len(s.conns)
 	for c := range s.conns {
+		if c.discarding(now) {
+			open--
+		}
 		if c.closing || c.expired != "" || len(c.inFlight) > 0 || c.pipeline.inFlight > 0 {
 			continue // a request may have arrived whose goroutine has not started or not ended
 		}
@@ -228,12 +246,15 @@
 		if since.Before(start) {
 			since = start
 		}
+		if cause == ClosedByServer && since.Before(c.receivedAt) {
+			since = c.receivedAt
+		}
 		if now.Sub(since) >= timeout {
 			c.expired = cause
 			_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read loop; fails only on a closed connection
 		}
 	}
-	return len(s.conns)
+	return open
 }
 
 // Close stops the server immediately and aborts the requests in flight.
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -1,8 +1,10 @@
 package http1
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -19,6 +21,11 @@
 	// Closing a socket that has unread bytes resets it, and the reset can overtake the
 	// last response.
 	lingerTimeout = 300 * time.Millisecond
+	// discardBufferSize is the size in bytes of the buffer for bytes that are not served.
+	discardBufferSize = 16 << 10
+	// maxDiscarded is the largest size in bytes of what is read after the last response,
+	// unless a body was refused.
+	maxDiscarded = 1 << 20
 )
 
 // serverConn is a connection of a Server. nbhttp writes responses to it.
@@ -32,7 +39,10 @@
 	slotFinished *sync.Cond // signalled by finishSlot
 	pipeline     pipeline
 	inFlight     map[*exchange]struct{} // started requests
-	unparsed     int                    // bytes read since the last complete request
+	received     *requestBody           // of the request that is enqueued next
+	receivedAt   time.Time              // when bytes were read last
+	refusedBody  bool                   // the rest of a refused body may follow
+	lingerSince  time.Time              // when Close was called first
 	idleSince    time.Time              // when the last request ended; not meaningful while requests are in flight
 	expired      CloseCause             // why the read loop is to close the connection if it has read nothing; empty: it is not
 	halfClosed   chan struct{}          // made when the peer has closed its sending side, closed when the connection fails after that
@@ -41,23 +51,45 @@
 	cause        CloseCause             // why the connection closes; empty until that is known
 }
 
+// errConnClosing ends the reading of requests on a connection that is about to close.
+var errConnClosing = errors.New("the connection is closing")
+
+// connReader reads the requests of a connection.
+type connReader struct{ conn *serverConn }
+
+// Read returns errConnClosing if no further request may start on the connection.
+func (r connReader) Read(p []byte) (int, error) {
+	for {
+		n, err := r.conn.Conn.Read(p)
+		if err = r.conn.applyExpiry(n, err); err != nil {
+			return 0, err
+		}
+		if r.conn.isClosing() {
+			return 0, errConnClosing
+		}
+		if n > 0 {
+			return n, nil
+		}
+	}
+}
+
 // serve reads requests until the connection ends.
 func (c *serverConn) serve() {
 	parser := nbhttp.NewParser(c, c.server.engine, nbhttp.NewServerProcessor(), false, c.execute)
-	buf := make([]byte, serverReadBufferSize)
+	reader := bufio.NewReaderSize(connReader{c}, serverReadBufferSize)
+	var head []byte // reused
 	var err error
 	for err == nil {
-		var n int
-		n, err = c.Conn.Read(buf)
-		if err = c.applyExpiry(n, err); err != nil {
-			break
-		}
-		if n > 0 && !c.isClosing() && (parser.Parse(buf[:n]) != nil || !c.withinReadLimit(n)) {
-			c.reject(ClosedInvalid)
+		if cap(head) > serverReadBufferSize {
+			head = nil
 		}
+		head, err = c.readRequest(reader, parser, head[:0])
 		c.awaitPipeline()
 	}
-	if err == io.EOF {
+	if errors.Is(err, errConnClosing) {
+		err = c.discard()
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		c.serveHalfClosed()
 	}
 	_ = c.Conn.Close()
@@ -65,12 +97,147 @@
 	c.server.removeConn(c)
 }
 
+// readRequest reads a request, its head into buf, and starts it. It returns the buffer of
+// the head for reuse.
+func (c *serverConn) readRequest(r *bufio.Reader, parser *nbhttp.Parser, buf []byte) ([]byte, error) {
+	raw, err := readHead(r, buf)
+	switch {
+	case errors.Is(err, errNotHTTP):
+		c.reject(ClosedInvalid)
+		return nil, errConnClosing
+	case errors.Is(err, errRequestHead):
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+		return nil, errConnClosing
+	case err != nil:
+		return nil, err
+	}
+	head, err := parseHead(raw)
+	if err != nil {
+		c.refuse(http.StatusBadRequest)
+		return nil, errConnClosing
+	}
+	body, err := c.readBody(r, head)
+	if err != nil {
+		_ = body.Close()
+		return nil, err
+	}
+	c.setReceived(body)
+	if err := parser.Parse(head.raw); err != nil {
+		c.refuse(http.StatusBadRequest)
+	}
+	if rejected := c.setReceived(nil); rejected != nil {
+		_ = rejected.Close()
+	}
+	if c.isClosing() {
+		return nil, errConnClosing
+	}
+	return raw, nil
+}
+
+// setReceived sets the body of the request that enqueueRequest is called for next, and
+// returns the previous one if no request has taken it.
+func (c *serverConn) setReceived(b *requestBody) *requestBody {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	previous := c.received
+	c.received = b
+	c.refusedBody = c.refusedBody || b != nil && b.err != nil
+	return previous
+}
+
+// readBody reads the body of a request. The error is one of the connection; if the body is
+// refused, it contains the reason.
+func (c *serverConn) readBody(r *bufio.Reader, head requestHead) (*requestBody, error) {
+	cfg := c.server.cfg
+	b := &requestBody{small: cfg.SmallBodies, large: cfg.Bodies}
+	switch {
+	case head.chunked:
+	case head.length > int64(cfg.MaxBody):
+		b.fail(ErrRequestBodyTooLarge)
+	case head.length > smallBodySize && cfg.Bodies != nil && head.length > cfg.Bodies.left():
+		b.fail(ErrRequestBodyBudget)
+	case head.length == 0:
+		return b, nil
+	}
+	if b.err != nil {
+		return b, nil
+	}
+	if head.expectContinue && r.Buffered() == 0 {
+		c.writeContinue()
+	}
+	if head.chunked {
+		return b, b.receiveChunked(r, int64(cfg.MaxBody))
+	}
+	return b, b.receive(r, head.length, head.length)
+}
+
+// writeContinue asks the caller for the body that it has announced. If a request is in
+// flight, the caller could take that for its response, and sends the body later unasked.
+func (c *serverConn) writeContinue() {
+	c.interimMu.Lock()
+	defer c.interimMu.Unlock()
+	c.server.mu.Lock()
+	skip := c.pipeline.inFlight > 0 || c.closing
+	c.server.mu.Unlock()
+	if !skip {
+		_, _ = io.WriteString(c, interimResponse) // a failed write closes the connection
+	}
+}
+
+// discard reads on without serving requests, until the connection ends.
+func (c *serverConn) discard() error {
+	buf := make([]byte, discardBufferSize)
+	discarded := 0 // bytes since the last response was sent
+	for {
+		n, err := c.Conn.Read(buf)
+		if err = c.applyExpiry(n, err); err != nil {
+			return err
+		}
+		lingering, refusedBody, err := c.prolongLinger(time.Now())
+		if err != nil {
+			return err
+		}
+		if lingering {
+			discarded += n
+		}
+		if discarded > maxDiscarded && !refusedBody {
+			time.Sleep(lingerTimeout)
+			return errConnClosing
+		}
+	}
+}
+
+// prolongLinger gives the sender of a refused body more time for its rest. It reports
+// whether the last response was sent, and whether a body was refused.
+func (c *serverConn) prolongLinger(now time.Time) (lingering, refusedBody bool, err error) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	lingering = c.closing && !c.lingerSince.IsZero()
+	if !lingering || !c.refusedBody {
+		return lingering, c.refusedBody, nil
+	}
+	deadline := now.Add(discardIdleTimeout)
+	if end := c.lingerSince.Add(discardTimeout); end.Before(deadline) {
+		deadline = end
+	}
+	return true, true, c.Conn.SetReadDeadline(deadline)
+}
+
+// discarding reports whether a shutdown need not wait for the connection, because its last
+// response was sent and only the rest of a refused body is read. The caller holds Server.mu.
+func (c *serverConn) discarding(now time.Time) bool {
+	return c.refusedBody && !c.lingerSince.IsZero() && now.Sub(c.lingerSince) > lingerTimeout
+}
+
 // applyExpiry decides, after a read that returned n and err, whether a connection that
 // closeIdle has marked as expired closes. It returns the error that ends the read loop.
 func (c *serverConn) applyExpiry(n int, err error) error {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	if n > 0 {
+		c.receivedAt = time.Now()
+	}
 	switch {
 	case c.closing, err != nil && !timedOut, err == nil && c.expired == "":
 		return err
@@ -88,16 +255,6 @@
 	return c.closing || c.pipeline.rejecting
 }
 
-// withinReadLimit counts n bytes that were read, and reports whether the request that
-// they belong to is within the limit. nbhttp limits each line and body, but not the
-// number of lines.
-func (c *serverConn) withinReadLimit(n int) bool {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	c.unparsed += n
-	return c.unparsed <= c.server.engine.ReadLimit+serverReadBufferSize
-}
-
 // awaitPipeline waits until fewer than maxConcurrentPerConn requests are in flight, so
 // that a caller that pipelines without end is not read any further.
 func (c *serverConn) awaitPipeline() {
@@ -134,8 +291,16 @@
 func (c *serverConn) Close() error {
 	c.server.mu.Lock()
 	c.setClosing(ClosedByServer, true)
+	linger := lingerTimeout
+	if c.refusedBody {
+		linger = discardIdleTimeout
+	}
+	now := time.Now()
+	if c.lingerSince.IsZero() {
+		c.lingerSince = now
+	}
 	c.server.mu.Unlock()
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
+	if err := c.Conn.SetReadDeadline(now.Add(linger)); err != nil {
 		return err
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -249,7 +249,7 @@
 		}
 		req.Attempts.add(pc)
 		stop := context.AfterFunc(ctx, func() { _ = pc.conn.SetDeadline(time.Unix(1, 0)) })
-		n, err := pc.conn.Write(encodeRequest(addr, req))
+		n, err := writeRequest(pc.conn, addr, req)
 		if err != nil {
 			stop()
 			pc.reset()
@@ -423,7 +423,37 @@
 	_ = pc.conn.Close()
 }
 
-func encodeRequest(addr string, req *Request) []byte {
+// maxJoinedBody is the size in bytes up to which a body is copied behind its head, so that
+// both go out in one write.
+const maxJoinedBody = 16 << 10
+
+// writeRequest writes req without a copy of a large body, and returns the number of bytes
+// that were written.
+func writeRequest(w io.Writer, addr string, req *Request) (int64, error) {
+	chunks := req.Chunks
+	if len(req.Body) > 0 {
+		chunks = [][]byte{req.Body}
+	}
+	size := 0
+	for _, chunk := range chunks {
+		size += len(chunk)
+	}
+	head := encodeHead(addr, req, size)
+	if size > maxJoinedBody {
+		parts := append(make(net.Buffers, 0, len(chunks)+1), head) // WriteTo changes the slice
+		parts = append(parts, chunks...)
+		return parts.WriteTo(w)
+	}
+	for _, chunk := range chunks {
+		head = append(head, chunk...)
+	}
+	n, err := w.Write(head)
+	return int64(n), err
+}
+
+// encodeHead returns the head of req, whose body has bodySize bytes. The slice has room for
+// a body that is joined to it.
+func encodeHead(addr string, req *Request, bodySize int) []byte {
 	var b bytes.Buffer
 	host := req.Host
 	if host == "" {
@@ -431,11 +461,13 @@
 	}
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	_ = req.Header.Write(&b) // writes to a bytes.Buffer do not fail
-	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	if bodySize > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(bodySize) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
+	if bodySize <= maxJoinedBody {
+		b.Grow(bodySize)
+	}
 	return b.Bytes()
 }
 
