http1: refuse requests with ambiguous framing

What callers saw: a request that stated its length twice ran without its body, and the body ran as another request, which no caller had sent. Its answer went to the next user of the connection.

The class: an input with two readings is given one of them, where another party may take the other.

Change: heads are checked by RFC 9112, sections 2.2, 3 and 5 to 7, before they are passed to nbhttp's parser: one length of digits only or exactly the coding chunked, HTTP/1.0 or 1.1, one Host, CRLF line ends, no NUL, names that are tokens. Trailer fields are checked in the same way.

--- a/internal/http1/requestbody.go
+++ b/internal/http1/requestbody.go
@@ -191,7 +191,8 @@
 		if len(line) == 0 {
 			return nil
 		}
-		if extras += len(line); extras > maxChunkExtras || bytes.IndexByte(line, ':') < 1 {
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		if extras += len(line); extras > maxChunkExtras || !ok || !isToken(name) {
 			b.fail(errMalformedChunk)
 			return nil
 		}
--- a/internal/http1/requesthead.go
+++ b/internal/http1/requesthead.go
@@ -81,35 +81,99 @@
 	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
 }
 
-// parseHead removes the lines that frame the body from raw.
+// parseHead checks a head by RFC 9112, sections 2.2, 3 and 5 to 7, and removes the lines that
+// frame the body from raw. It refuses what an upstream, or a proxy before this server, could
+// frame in another way.
 func parseHead(raw []byte) (requestHead, error) {
 	h := requestHead{raw: raw[:0]}
-	for line := range bytes.Lines(raw) {
-		name, value, _ := bytes.Cut(line, []byte(":"))
+	http10 := false
+	hosts, lengths, codings := 0, 0, 0
+	for i, rest := 0, raw; len(rest) > 0; i++ {
+		end := bytes.IndexByte(rest, '\n') + 1
+		line := rest[:end]
+		rest = rest[end:]
+		text, ok := bytes.CutSuffix(line, []byte("\r\n"))
+		if !ok || bytes.IndexByte(text, '\r') >= 0 || bytes.IndexByte(text, 0) >= 0 {
+			return requestHead{}, errors.Wrap(errInvalidRequest, "line end or NUL")
+		}
+		if i == 0 {
+			if http10, ok = parseRequestLine(text); !ok {
+				return requestHead{}, errors.Wrap(errInvalidRequest, "request line")
+			}
+		}
+		if i == 0 || len(text) == 0 {
+			h.raw = append(h.raw, line...)
+			continue
+		}
+		name, value, _ := bytes.Cut(text, []byte(":"))
+		if len(name) == len(text) || !isToken(name) { // also a folded line
+			return requestHead{}, errors.Wrap(errInvalidRequest, "field name")
+		}
+		value = bytes.Trim(value, " \t")
 		switch {
+		case isField(name, "Host"):
+			hosts++
 		case isField(name, "Content-Length"):
-			n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			if err != nil || n < 0 {
-				return requestHead{}, errInvalidRequest
+			lengths++
+			if h.length, ok = parseLength(value); !ok {
+				return requestHead{}, errors.Wrap(errInvalidRequest, "Content-Length")
 			}
-			h.length = n
 			continue
 		case isField(name, "Transfer-Encoding"):
-			if !strings.EqualFold(string(bytes.TrimSpace(value)), "chunked") {
-				return requestHead{}, errInvalidRequest
+			codings++
+			if !strings.EqualFold(string(value), "chunked") {
+				return requestHead{}, errors.Wrap(errInvalidRequest, "Transfer-Encoding")
 			}
 			h.chunked = true
 			continue
 		case isField(name, "Trailer"):
 			continue
 		case isField(name, "Expect"):
-			h.expectContinue = strings.EqualFold(string(bytes.TrimSpace(value)), "100-continue")
+			h.expectContinue = !http10 && strings.EqualFold(string(value), "100-continue")
 		}
 		h.raw = append(h.raw, line...)
 	}
+	if lengths+codings > 1 || http10 && codings > 0 {
+		return requestHead{}, errors.Wrap(errInvalidRequest, "ambiguous length")
+	}
+	if hosts > 1 || hosts == 0 && !http10 {
+		return requestHead{}, errors.Wrap(errInvalidRequest, "Host")
+	}
 	return h, nil
 }
 
+// parseRequestLine checks a request line, and reports whether it is of HTTP/1.0.
+func parseRequestLine(line []byte) (http10, ok bool) {
+	method, rest, _ := bytes.Cut(line, []byte(" "))
+	target, version, _ := bytes.Cut(rest, []byte(" "))
+	if !isToken(method) || len(target) == 0 || bytes.ContainsAny(target, "\t\v\f\x7f") {
+		return false, false
+	}
+	http10 = string(version) == "HTTP/1.0"
+	return http10, http10 || string(version) == "HTTP/1.1"
+}
+
+// parseLength parses the value of Content-Length, which has only digits.
+func parseLength(value []byte) (int64, bool) {
+	for _, c := range value {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+	}
+	n, err := strconv.ParseInt(string(value), 10, 64) // fails if empty or too large
+	return n, err == nil
+}
+
+// isToken reports whether b is the name of a method or field.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !isTokenChar(c) {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
 // isField reports whether name is that of the given field.
 func isField(name []byte, field string) bool {
 	return len(name) == len(field) && strings.EqualFold(string(name), field)
