http1: count large request heads in the memory budget

What callers would see: as with bodies, callers that keep many heads of up to 64 KiB incomplete take an instance over its memory limit. 1,000 of them hold 64 MB or more. Not seen in an incident.

Cause: only the size of one head had a bound. The class is that of the bodies: memory that callers decide on has no bound for the process.

Evidence: TestPartialHeadsStayWithinBudget keeps 20 heads of 32 KiB incomplete beside a budget of 1 MiB; 20 of 20 were kept before, at most 9 now.

Change: what a head has beyond the read buffer of 4 KiB counts four times in the budget of bodies, for its buffer and the header. Without room the request is refused with 503 and Retry-After before the head is complete.

--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -115,13 +115,17 @@
 	c.setClosing(ClosedInvalid, false)
 	slot := c.pipeline.addSlot()
 	s.mu.Unlock()
+	retryAfter := ""
+	if status == http.StatusServiceUnavailable {
+		retryAfter = "Retry-After: 1\r\n"
+	}
 	go func() {
 		defer s.finishSlot(slot)
 		<-slot.prevDone
 		c.interimMu.Lock()
 		defer c.interimMu.Unlock()
 		// A failed write closes the connection.
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%sConnection: close\r\n\r\n", status, http.StatusText(status), retryAfter)
 	}()
 }
 
--- a/internal/http1/requestbody.go
+++ b/internal/http1/requestbody.go
@@ -38,7 +38,7 @@
 
 	small, large           *BodyBudget
 	takenSmall, takenLarge int64
-	size                   int64 // capacity of all chunks in bytes
+	size                   int64 // bytes taken: the capacity of all chunks, and a large head
 	read                   int   // chunks that Read has returned completely
 	offset                 int   // bytes of the next chunk that Read has returned
 }
--- a/internal/http1/requestbody_test.go
+++ b/internal/http1/requestbody_test.go
@@ -150,6 +150,37 @@
 	waitFor(t, func() bool { return used() == 0 })
 }
 
+// Guards against callers that take memory without end by large heads that they do not
+// complete.
+func TestPartialHeadsStayWithinBudget(t *testing.T) {
+	bodies := NewBodyBudget(1 << 20)
+	s, _ := listenBodies(t, ServerConfig{Bodies: bodies})
+	head := "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", maxRequestHead/2)
+	open := make([]net.Conn, 20)
+	for i := range open {
+		open[i] = dialBodies(t, s)
+		_, _ = io.WriteString(open[i], head)
+	}
+	var refused int
+	for _, c := range open {
+		_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			refused++
+			if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
+				t.Errorf("response %v", res)
+			}
+		}
+	}
+	// Each head takes 112 KiB or more of the budget.
+	if kept := len(open) - refused; kept < 1 || kept > 9 {
+		t.Errorf("%d of %d heads are kept", kept, len(open))
+	}
+	for _, c := range open {
+		_ = c.Close()
+	}
+	waitFor(t, func() bool { return bodies.used.Load() == 0 })
+}
+
 // Guards against a shutdown that cuts a connection off as idle while a request is being
 // received on it.
 func TestShutdownAwaitsRequestBeingReceived(t *testing.T) {
--- a/internal/http1/requesthead.go
+++ b/internal/http1/requesthead.go
@@ -9,12 +9,18 @@
 	"github.com/go-faster/errors"
 )
 
-// maxRequestHead is the largest request head in bytes.
-const maxRequestHead = 64 << 10
+const (
+	// maxRequestHead is the largest request head in bytes.
+	maxRequestHead = 64 << 10
+	// headMemoryFactor is the memory that a head takes for each of its bytes, in its buffer,
+	// which grows by copying, and in the header of the request.
+	headMemoryFactor = 4
+)
 
 var (
 	errNotHTTP        = errors.New("bytes that are not HTTP")
 	errRequestHead    = errors.Errorf("request head exceeds %d bytes", maxRequestHead)
+	errHeadBudget     = errors.New("request heads exceed the memory budget of the process")
 	errInvalidRequest = errors.New("malformed request head")
 )
 
@@ -28,16 +34,23 @@
 }
 
 // readHead reads the bytes of a request head into buf, up to and including its empty line.
-func readHead(r *bufio.Reader, buf []byte) ([]byte, error) {
+// The memory of what exceeds the read buffer of a connection is taken from the budgets of b.
+func readHead(r *bufio.Reader, buf []byte, b *requestBody) ([]byte, error) {
 	if err := skipEmptyLine(r); err != nil {
 		return nil, err
 	}
-	lineStart := true
+	lineStart, budgeted := true, serverReadBufferSize
 	for {
 		part, err := r.ReadSlice('\n')
 		if len(buf)+len(part) > maxRequestHead {
 			return nil, errRequestHead
 		}
+		if size := len(buf) + len(part); size > budgeted {
+			if !b.take(int64(size-budgeted) * headMemoryFactor) {
+				return nil, errHeadBudget
+			}
+			budgeted = size
+		}
 		buf = append(buf, part...)
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, err
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -100,7 +100,13 @@
 // readRequest reads a request, its head into buf, and starts it. It returns the buffer of
 // the head for reuse.
 func (c *serverConn) readRequest(r *bufio.Reader, parser *nbhttp.Parser, buf []byte) ([]byte, error) {
-	raw, err := readHead(r, buf)
+	body := &requestBody{small: c.server.cfg.SmallBodies, large: c.server.cfg.Bodies}
+	defer func() {
+		if body != nil {
+			_ = body.Close()
+		}
+	}()
+	raw, err := readHead(r, buf, body)
 	switch {
 	case errors.Is(err, errNotHTTP):
 		c.reject(ClosedInvalid)
@@ -108,6 +114,9 @@
 	case errors.Is(err, errRequestHead):
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 		return nil, errConnClosing
+	case errors.Is(err, errHeadBudget):
+		c.refuse(http.StatusServiceUnavailable)
+		return nil, errConnClosing
 	case err != nil:
 		return nil, err
 	}
@@ -116,18 +125,14 @@
 		c.refuse(http.StatusBadRequest)
 		return nil, errConnClosing
 	}
-	body, err := c.readBody(r, head)
-	if err != nil {
-		_ = body.Close()
+	if err := c.readBody(r, head, body); err != nil {
 		return nil, err
 	}
 	c.setReceived(body)
 	if err := parser.Parse(head.raw); err != nil {
 		c.refuse(http.StatusBadRequest)
 	}
-	if rejected := c.setReceived(nil); rejected != nil {
-		_ = rejected.Close()
-	}
+	body = c.setReceived(nil) // not nil if the request was rejected
 	if c.isClosing() {
 		return nil, errConnClosing
 	}
@@ -145,30 +150,28 @@
 	return previous
 }
 
-// readBody reads the body of a request. The error is one of the connection; if the body is
-// refused, it contains the reason.
-func (c *serverConn) readBody(r *bufio.Reader, head requestHead) (*requestBody, error) {
-	cfg := c.server.cfg
-	b := &requestBody{small: cfg.SmallBodies, large: cfg.Bodies}
+// readBody reads the body of a request into b. The error is one of the connection; if the
+// body is refused, b contains the reason.
+func (c *serverConn) readBody(r *bufio.Reader, head requestHead, b *requestBody) error {
+	maxBody := int64(c.server.cfg.MaxBody)
 	switch {
 	case head.chunked:
-	case head.length > int64(cfg.MaxBody):
+	case head.length == 0:
+		return nil
+	case head.length > maxBody:
 		b.fail(ErrRequestBodyTooLarge)
-	case head.length > smallBodySize && cfg.Bodies != nil && head.length > cfg.Bodies.left():
+		return nil
+	case head.length > smallBodySize && b.large != nil && head.length > b.large.left():
 		b.fail(ErrRequestBodyBudget)
-	case head.length == 0:
-		return b, nil
-	}
-	if b.err != nil {
-		return b, nil
+		return nil
 	}
 	if head.expectContinue && r.Buffered() == 0 {
 		c.writeContinue()
 	}
 	if head.chunked {
-		return b, b.receiveChunked(r, int64(cfg.MaxBody))
+		return b.receiveChunked(r, maxBody)
 	}
-	return b, b.receive(r, head.length, head.length)
+	return b.receive(r, head.length, head.length)
 }
 
 // writeContinue asks the caller for the body that it has announced. If a request is in
