direct: log and export the memory in use and what holds it

Nothing in its log or metrics said how much memory it used.

Change: a line "memory near its limit" from 70% of limits.memoryMb on, at most every 10 s unless memory has grown by another 5%, and one when it has been below 60% for 1 s. They state the runtime's and the resident memory, the bytes of request and response bodies, and the open connections and requests of callers. Gauges state the same.

--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -41,6 +41,11 @@
 	upstreams            *prometheus.GaugeVec // by service, state
 	leavingByAnswer      *prometheus.GaugeVec // by service
 	limited              *prometheus.GaugeVec // by service
+	memory               *prometheus.GaugeVec // by of: how it is counted
+	memoryLimit          prometheus.Gauge
+	bodies               *prometheus.GaugeVec // by of: the kind of bodies
+	callerConns          prometheus.Gauge
+	requestsInProgress   prometheus.Gauge
 }
 
 // durationBuckets are the upper bounds of the duration histogram, in seconds. They are
@@ -121,8 +126,24 @@
 	m.upstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams", Help: "Upstreams by what this instance thinks of them.",
 	}, []string{"service", "state"})
+	m.memory = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "parsleyproxy_direct_memory_bytes", Help: "Resident memory of the process, and memory that its runtime has from the system.",
+	}, []string{"of"})
+	m.memoryLimit = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "parsleyproxy_direct_memory_limit_bytes", Help: "Memory limit of the process; 0 if it is unknown.",
+	})
+	m.bodies = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "parsleyproxy_direct_body_bytes", Help: "Memory of bodies that are held.",
+	}, []string{"of"})
+	m.callerConns = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "parsleyproxy_direct_caller_connections", Help: "Open connections of callers.",
+	})
+	m.requestsInProgress = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "parsleyproxy_direct_requests_in_progress", Help: "Requests of callers that have not been answered.",
+	})
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.cutResponses, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
+	m.registry.MustRegister(m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
 	return m
 }
 
@@ -140,6 +161,7 @@
 // updateGauges sets the gauges to the instance's state and the age of that state at
 // now.
 func (r *Router) updateGauges(now time.Time) {
+	r.updateMemoryGauges()
 	m := r.metrics
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -54,6 +54,7 @@
 	shuttingDown  atomic.Bool
 	operatorState atomic.Pointer[OperatorState]
 	holderMap     atomic.Pointer[keyspace.Map]
+	callers       atomic.Pointer[http1.Server] // nil before Run listens
 
 	stopping       context.Context // ends shortly before requests in progress are cut off
 	cancelStopping context.CancelFunc
@@ -174,6 +175,7 @@
 		return err
 	}
 	defer callers.Close()
+	r.callers.Store(callers)
 	servers := map[string]http.Handler{
 		r.cfg.HealthListen: http.HandlerFunc(r.health), r.cfg.PeerListen: http.HandlerFunc(r.servePeer),
 	}
@@ -188,7 +190,7 @@
 		defer s.Close()
 	}
 	var g run.Group
-	for _, loop := range []func(context.Context){r.syncOperator, r.syncUpstreams, r.leadOrFollow, r.closeIdleConnections, r.watchSettings} {
+	for _, loop := range []func(context.Context){r.syncOperator, r.syncUpstreams, r.leadOrFollow, r.closeIdleConnections, r.watchSettings, r.watchMemory} {
 		loopCtx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { loop(loopCtx); return nil }, func(error) { cancel() })
 	}
