peer: limit the size of a control message

A peer that holds the fleet secret could state a length of any size and send a string without end. The JSON decoder keeps all of it until the message is complete, so that a faulty instance could take the memory of the others, and with it their requests.

Messages of more than 8 MiB end the connection now. The largest ones carry the catalogue and the assignment, which the store limits to 1 MiB each.

TestEndlessMessage without the change: "the server read a message of 24 MiB and did not close the connection"; the test stops there. With it the connection is closed at once.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -120,7 +120,7 @@
 		_ = c.Close()
 		return
 	}
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(c, messageCodec{})
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
 	conn := jsonrpc2.NewConn(s.ctx, stream, h, jsonrpc2.SetLogger(discardLogger{}))
 	select {
@@ -315,7 +315,7 @@
 		_ = netConn.Close()
 		return nil, err
 	}
-	stream := jsonrpc2.NewBufferedStream(netConn, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(netConn, messageCodec{})
 	conn = jsonrpc2.NewConn(context.Background(), stream, ignoreCalls{}, jsonrpc2.SetLogger(discardLogger{}))
 	c.mu.Lock()
 	defer c.mu.Unlock()
