http1: limit the chunked responses that a pool reads

The pools of serve read a response in chunks until its end, however far that is: a faulty upstream, store or instance could take the memory of the process within one request, and with it the requests of all callers. Bodies with a length were limited to 64 MiB by nbhttp's ReadLimit, which applies to what is parsed at once and so not to chunks.

Pools refuse bodies of more than 64 MiB in either form now, and the request counts as lost.

TestEndlessChunksOfPool without the change: "the peer wrote 3327 MiB, want at most 80 MiB", until the deadline of 5 s. With it: "invalid http message: too long; the peer wrote 64 MiB", after 0.13 s. The number of header lines that a pool reads is still not bounded.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -42,12 +42,16 @@
 	pools []*Pool
 }
 
+// maxPoolBody is the largest response body in bytes. nbhttp's default ReadLimit bounds a
+// body with a length to the same size, but not one in chunks.
+const maxPoolBody = nbhttp.DefaultHTTPReadLimit
+
 // sharedEngine starts the event loops that all clients of the process share. The
 // engine is never stopped: nbio ignores a Stop call made before its pollers run and
 // then blocks forever.
 var sharedEngine = sync.OnceValues(func() (*nbhttp.Engine, error) {
 	engine := nbhttp.NewEngine(nbhttp.Config{
-		Name: "http1-client", SupportServerOnly: true,
+		Name: "http1-client", SupportServerOnly: true, MaxHTTPBodySize: maxPoolBody,
 		// Response handlers run outside the event loop. If a connection closes while its
 		// handler runs, nbio runs the close callback after the handler; the callback locks
 		// the parser, which the event loop holds, so the event loop would deadlock.
