--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -36,10 +36,11 @@
 	// upstream can make the response if one of them is cut off.
 	frontStreamTime = 20 * time.Millisecond
 	// frontMaxStoreBody is the largest response of the store in bytes. Its pages have about
-	// 1 MB, and a watch returns few of the operators' keys. The store has a budget of its
-	// own, so that bodies of upstreams cannot keep an instance from reading it.
-	frontMaxStoreBody    = 32 << 20
-	frontStoreBodyBudget = frontMaxStoreBody * 3 / 2
+	// 1 MB beside their last value, and values up to 1 MiB, which base64 makes 1.4 MB. A watch
+	// that returns more fails, and the complete state is read instead. The store has a budget
+	// of its own, so that bodies of upstreams cannot keep an instance from reading it.
+	frontMaxStoreBody    = 4 << 20
+	frontStoreBodyBudget = 3 * frontMaxStoreBody
 	// frontMaxHolderBody is the largest response to a grant or release in bytes; these have
 	// no body or a short message.
 	frontMaxHolderBody = 64 << 10
