direct: limit the memory of requests from other instances

An instance read up to 4 MiB for each request of another instance, on any number of connections and 16 requests on each, and as much for readiness checks and metrics requests. One faulty instance could so end the process of the leader, and with it the requests of its callers.

Bodies of other instances have at most 1 MiB now, as replies have, and 40 MiB together. Readiness checks and metrics requests have bodies of at most 4 KiB and 64 connections for each kind.

--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -42,6 +42,11 @@
 	peerDialTimeout     = 300 * time.Millisecond
 	peerIdleTimeout     = 10 * time.Second
 	maxPeerBody         = 1 << 20 // bytes
+	// maxPeerBodies is the memory in bytes of the bodies of all requests of other instances,
+	// beside the first 64 KiB of each, which have maxSmallPeerBodies. A report has some tens
+	// of KiB, and the leader keeps those of all instances while it holds them.
+	maxPeerBodies      = 32 << 20
+	maxSmallPeerBodies = 8 << 20
 	// maxReportedKeys bounds the keys in a report for each service. At the design rate,
 	// an instance receives fewer requests to a service between two reports.
 	maxReportedKeys = 2000
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -174,16 +174,18 @@
 		return err
 	}
 	defer callers.Close()
-	servers := map[string]http.Handler{
-		r.cfg.HealthListen: http.HandlerFunc(r.health), r.cfg.PeerListen: http.HandlerFunc(r.servePeer),
+	servers := []http1.ServerConfig{
+		{Addr: r.cfg.HealthListen, Handler: http.HandlerFunc(r.health), MaxBody: maxProbeBody, MaxConns: maxProbeConns},
+		{Addr: r.cfg.PeerListen, Handler: http.HandlerFunc(r.servePeer), MaxBody: maxPeerBody, Bodies: http1.NewBodyBudget(maxPeerBodies), SmallBodies: http1.NewBodyBudget(maxSmallPeerBodies)},
 	}
 	if r.cfg.MetricsListen != "" {
-		servers[r.cfg.MetricsListen] = r.metrics.Handler()
+		servers = append(servers, http1.ServerConfig{Addr: r.cfg.MetricsListen, Handler: r.metrics.Handler(), MaxBody: maxProbeBody, MaxConns: maxProbeConns})
 	}
-	for addr, h := range servers {
-		s, err := http1.Listen(http1.ServerConfig{Addr: addr, Handler: h, ReadTimeout: serverReadTimeout})
+	for _, cfg := range servers {
+		cfg.ReadTimeout = serverReadTimeout
+		s, err := http1.Listen(cfg)
 		if err != nil {
-			return errors.Wrapf(err, "listen on %s", addr)
+			return errors.Wrapf(err, "listen on %s", cfg.Addr)
 		}
 		defer s.Close()
 	}
@@ -232,6 +234,11 @@
 	// responses of upstreams have another 0.4. A body of the maximum size fits into 284 MiB.
 	requestBodiesShare = 0.25
 	smallBodiesShare   = 0.05
+	// maxProbeBody is the maximum size in bytes of the body of a readiness check or a
+	// metrics request, which need none, and maxProbeConns the number of connections for
+	// each. The platform opens one a second.
+	maxProbeBody  = 4 << 10
+	maxProbeConns = 64
 )
 
 // requestBodyBudgets returns the budgets for the bodies of callers' requests. maxMemory is
