http1: an idle check before a request is enqueued keeps its response

What callers saw: while the server drains, a response that had begun could be cut off.

Cause: closeIdle marks an idle connection as expired and sets a read deadline in the past. If it runs after the read loop has read a request and before the request is enqueued, enqueueRequest removed the mark and left the deadline. The next read failed, and as a response that announces the end of its connection had begun, applyExpiry took that for the end of the connection and closed it. The class: a decision about a connection is made on another goroutine than the one that knows its state.

Evidence: the test forces the order with hooks of its connection. The order was not seen outside of the test.

Change: the deadline is removed with the mark, for requests that are refused before they are enqueued too (this part has no test of its own). No response in progress can depend on the deadline, because closeIdle passes over connections with a request in flight.

--- /dev/null
+++ b/internal/http1/idlerace_test.go
@@ -0,0 +1,85 @@
+package http1
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// hookedConn calls hooks before each read, and before the address of the peer is returned.
+// nbhttp asks for that when a request is complete and has not been enqueued yet.
+type hookedConn struct {
+	net.Conn
+	beforeRead func(n int) // n counts from 1
+	complete   func()      // called once
+	reads      int
+	once       sync.Once
+}
+
+func (c *hookedConn) Read(p []byte) (int, error) {
+	c.reads++
+	c.beforeRead(c.reads)
+	return c.Conn.Read(p)
+}
+
+func (c *hookedConn) RemoteAddr() net.Addr {
+	c.once.Do(c.complete)
+	return c.Conn.RemoteAddr()
+}
+
+// serveHooked makes s serve a connection through hc, and returns the caller's side of it.
+func serveHooked(t *testing.T, s *Server, hc *hookedConn) net.Conn {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = caller.Close() })
+	if hc.Conn, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	go s.addConn(hc).serve()
+	if err := caller.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return caller
+}
+
+// Guards against a response that is cut off while the server drains, because its connection was
+// found idle just before its request was enqueued.
+func TestIdleCheckBeforeEnqueueKeepsResponse(t *testing.T) {
+	begun := make(chan struct{})
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "4")
+		w.WriteHeader(http.StatusOK)
+		close(begun)
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(w, "done")
+	})
+	s.Drain()
+	caller := serveHooked(t, s, &hookedConn{
+		beforeRead: func(n int) {
+			if n == 2 {
+				<-begun
+			}
+		},
+		complete: func() {
+			s.closeIdle(time.Now().Add(time.Minute), time.Time{}, drainIdleTimeout, ClosedByServer)
+		},
+	})
+	if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if body := readFinal(t, bufio.NewReader(caller)); body != "done" {
+		t.Errorf("body %q, want done", body)
+	}
+}
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -82,7 +83,6 @@
 	slot := pipe.addSlot()
 	pipe.pending = slot
 	pipe.http10 = pipe.http10 || !r.ProtoAtLeast(1, 1)
-	pipe.conn.expired = ""
 	pipe.rejecting = r.Close // no request may follow one that asks to close the connection
 	s.waitingSlots[r] = slot
 }
@@ -99,6 +99,10 @@
 	}
 	p.newest = slot
 	p.inFlight++
+	if p.conn.expired != "" { // closeIdle ran after the last read
+		p.conn.expired = ""
+		_ = p.conn.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	}
 	return slot
 }
 
