http1: read what has arrived before a connection counts as idle

What callers saw: a whole request that was sent on a kept connection got a reset in place of an answer, if the process did not run around the time at which the connection was found idle, as in a shutdown. That happened even if a part of the request had been read.

Cause: closeIdle sets a read deadline in the past, and a read with such a deadline fails before it looks for bytes that have arrived. The class: a decision about a connection is made without its state.

Change: the read loop removes the deadline and reads once without waiting. It closes the connection only if nothing has arrived.

--- a/internal/http1/idlerace_test.go
+++ b/internal/http1/idlerace_test.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -20,6 +23,10 @@
 	once       sync.Once
 }
 
+func (c *hookedConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
 func (c *hookedConn) Read(p []byte) (int, error) {
 	c.reads++
 	c.beforeRead(c.reads)
@@ -83,3 +90,33 @@
 		t.Errorf("body %q, want done", body)
 	}
 }
+
+// Guards against a whole request that has arrived while the process did not run, of which a part
+// or nothing has been read, and whose connection is then closed as idle with a reset.
+func TestArrivedRequestSurvivesIdleCheck(t *testing.T) {
+	for name, pausedRead := range map[string]int{"unread": 1, "partly read": 2} {
+		t.Run(name, func(t *testing.T) {
+			s := listen(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+			paused, resume := make(chan struct{}), make(chan struct{})
+			caller := serveHooked(t, s, &hookedConn{
+				beforeRead: func(n int) {
+					if n == pausedRead {
+						close(paused)
+						<-resume
+					}
+				},
+				complete: func() {},
+			})
+			const size = 5 * serverReadBufferSize
+			if _, err := io.WriteString(caller, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n"+strings.Repeat("x", size)); err != nil {
+				t.Fatal(err)
+			}
+			<-paused
+			s.closeIdle(time.Now().Add(time.Minute), time.Time{}, time.Second, ClosedIdle)
+			close(resume)
+			if body := readFinal(t, bufio.NewReader(caller)); body != "/1" {
+				t.Errorf("body %q, want /1", body)
+			}
+		})
+	}
+}
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -61,6 +62,9 @@
 func (r connReader) Read(p []byte) (int, error) {
 	for {
 		n, err := r.conn.Conn.Read(p)
+		if r.conn.isExpired(err) {
+			n, err = r.conn.readArrived(p)
+		}
 		if err = r.conn.applyExpiry(n, err); err != nil {
 			return 0, err
 		}
@@ -232,6 +236,50 @@
 	return c.refusedBody && !c.lingerSince.IsZero() && now.Sub(c.lingerSince) > lingerTimeout
 }
 
+// isExpired reports whether a read has failed with err because of closeIdle.
+func (c *serverConn) isExpired(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.expired != "" && !c.closing
+}
+
+// readArrived reads bytes that have arrived before a deadline in the past was set. A read
+// with such a deadline fails without looking for them.
+func (c *serverConn) readArrived(p []byte) (n int, err error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, os.ErrDeadlineExceeded
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	var readErr error
+	if err := raw.Read(func(fd uintptr) bool {
+		for readErr = syscall.EINTR; errors.Is(readErr, syscall.EINTR); {
+			n, readErr = syscall.Read(int(fd), p)
+		}
+		return true // else it would wait for bytes
+	}); err != nil {
+		return 0, err
+	}
+	switch {
+	case errors.Is(readErr, syscall.EAGAIN):
+		return 0, os.ErrDeadlineExceeded
+	case readErr != nil:
+		return 0, readErr
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // applyExpiry decides, after a read that returned n and err, whether a connection that
 // closeIdle has marked as expired closes. It returns the error that ends the read loop.
 func (c *serverConn) applyExpiry(n int, err error) error {
