http1: notice a caller that leaves with a full pipeline

What callers saw: nothing; upstreams went on with the requests of a caller that had left, until their deadlines.

Cause: with 16 requests in flight a connection was not read until one of them ended, so that its end was not seen.

Change: with nothing left to parse, the read loop reads on while the pipeline is full. A caller that has sent further requests behind the 16 is still noticed later.

--- a/internal/http1/halfclosed_test.go
+++ b/internal/http1/halfclosed_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,32 +64,36 @@
 }
 
 // Guards against requests that go on for half a second or more after their caller has
-// closed its connection.
+// closed its connection, also if as many are in flight as one connection may have.
 func TestCallerThatLeftCancelsRequests(t *testing.T) {
-	cancelled := make(chan time.Time, 2)
-	started := make(chan struct{}, 2)
-	s := listen(t, func(_ http.ResponseWriter, r *http.Request) {
-		started <- struct{}{}
-		<-r.Context().Done()
-		cancelled <- time.Now()
-	})
-	c := dial(t, s)
-	if _, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	<-started
-	<-started
-	left := time.Now()
-	_ = c.Close()
-	for range 2 {
-		select {
-		case at := <-cancelled:
-			if d := at.Sub(left); d >= 500*time.Millisecond {
-				t.Errorf("cancelled after %s, want less than 500ms", d)
+	for _, n := range []int{2, maxConcurrentPerConn} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			cancelled, started := make(chan time.Time, n), make(chan struct{}, n)
+			s := listen(t, func(_ http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-r.Context().Done()
+				cancelled <- time.Now()
+			})
+			c := dial(t, s)
+			if _, err := io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", n)); err != nil {
+				t.Fatal(err)
 			}
-		case <-time.After(5 * time.Second):
-			t.Fatal("the request was not cancelled")
-		}
+			for range n {
+				<-started
+			}
+			left := time.Now()
+			_ = c.Close()
+			for range n {
+				select {
+				case at := <-cancelled:
+					if d := at.Sub(left); d >= 500*time.Millisecond {
+						t.Errorf("cancelled after %s, want less than 500ms", d)
+					}
+				case <-time.After(5 * time.Second):
+					t.Fatal("a request was not cancelled")
+				}
+			}
+		})
 	}
 }
 
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -128,6 +128,9 @@
 		<-slot.prevDone
 		c.interimMu.Lock()
 		defer c.interimMu.Unlock()
+		s.mu.Lock()
+		c.pipeline.writing = slot
+		s.mu.Unlock()
 		// A failed write closes the connection.
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%sConnection: close\r\n\r\n", status, http.StatusText(status), retryAfter)
 	}()
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -23,7 +23,7 @@
 	// last response.
 	lingerTimeout = 300 * time.Millisecond
 	// discardBufferSize is the size in bytes of the buffer for bytes that are not served.
-	discardBufferSize = 16 << 10
+	discardBufferSize = 2 << 10
 	// maxDiscarded is the largest size in bytes of what is read after the last response,
 	// unless a body was refused.
 	maxDiscarded = 1 << 20
@@ -88,7 +88,9 @@
 			head = nil
 		}
 		head, err = c.readRequest(reader, parser, head[:0])
-		c.awaitPipeline()
+		if err == nil {
+			err = c.awaitPipeline(reader)
+		}
 	}
 	if errors.Is(err, errConnClosing) {
 		err = c.discard()
@@ -307,8 +309,27 @@
 }
 
 // awaitPipeline waits until fewer than maxConcurrentPerConn requests are in flight, so
-// that a caller that pipelines without end is not read any further.
-func (c *serverConn) awaitPipeline() {
+// that a caller that pipelines without end is not read any further. If nothing is left to
+// parse in r, it reads on until more arrives, and so learns if the caller has left.
+func (c *serverConn) awaitPipeline(r *bufio.Reader) error {
+	for c.pipelineFull() {
+		if r.Buffered() > 0 {
+			c.awaitSlot()
+		} else if _, err := r.Peek(1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *serverConn) pipelineFull() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.pipeline.inFlight >= maxConcurrentPerConn
+}
+
+// awaitSlot waits until fewer than maxConcurrentPerConn requests are in flight.
+func (c *serverConn) awaitSlot() {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	for c.pipeline.inFlight >= maxConcurrentPerConn {
