direct, front: room for several configurations in a watch, and for many readiness checks

An answer of the store may have 8 MiB in place of 4: under a series of changes a watch returns several configurations of 1 MiB, which base64 makes 1.4 MB each. The servers for readiness checks and metrics take 1,000 connections in place of 64, since balancers may keep theirs open; their bodies and large heads have a budget of 4 MiB instead.

--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -39,8 +39,8 @@
 	// 1 MB beside their last value, and values up to 1 MiB, which base64 makes 1.4 MB. A watch
 	// that returns more fails, and the complete state is read instead. The store has a budget
 	// of its own, so that bodies of upstreams cannot keep an instance from reading it.
-	frontMaxStoreBody    = 4 << 20
-	frontStoreBodyBudget = 3 * frontMaxStoreBody
+	frontMaxStoreBody    = 8 << 20
+	frontStoreBodyBudget = 2 * frontMaxStoreBody
 	// frontMaxHolderBody is the largest response to a grant or release in bytes; these have
 	// no body or a short message.
 	frontMaxHolderBody = 64 << 10
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -176,12 +176,13 @@
 	}
 	defer callers.Close()
 	r.callers.Store(callers)
+	probes := http1.NewBodyBudget(maxProbeBodies)
 	servers := []http1.ServerConfig{
-		{Addr: r.cfg.HealthListen, Handler: http.HandlerFunc(r.health), MaxBody: maxProbeBody, MaxConns: maxProbeConns},
+		{Addr: r.cfg.HealthListen, Handler: http.HandlerFunc(r.health), MaxBody: maxProbeBody, MaxConns: maxProbeConns, Bodies: probes},
 		{Addr: r.cfg.PeerListen, Handler: http.HandlerFunc(r.servePeer), MaxBody: maxPeerBody, Bodies: http1.NewBodyBudget(maxPeerBodies), SmallBodies: http1.NewBodyBudget(maxSmallPeerBodies)},
 	}
 	if r.cfg.MetricsListen != "" {
-		servers = append(servers, http1.ServerConfig{Addr: r.cfg.MetricsListen, Handler: r.metrics.Handler(), MaxBody: maxProbeBody, MaxConns: maxProbeConns})
+		servers = append(servers, http1.ServerConfig{Addr: r.cfg.MetricsListen, Handler: r.metrics.Handler(), MaxBody: maxProbeBody, MaxConns: maxProbeConns, Bodies: probes})
 	}
 	for _, cfg := range servers {
 		cfg.ReadTimeout = serverReadTimeout
@@ -237,10 +238,11 @@
 	requestBodiesShare = 0.25
 	smallBodiesShare   = 0.05
 	// maxProbeBody is the maximum size in bytes of the body of a readiness check or a
-	// metrics request, which need none, and maxProbeConns the number of connections for
-	// each. The platform opens one a second.
-	maxProbeBody  = 4 << 10
-	maxProbeConns = 64
+	// metrics request, which need none, maxProbeBodies the memory of those of all requests
+	// and of large heads, and maxProbeConns the number of connections for each.
+	maxProbeBody   = 4 << 10
+	maxProbeBodies = 4 << 20
+	maxProbeConns  = 1000
 )
 
 // requestBodyBudgets returns the budgets for the bodies of callers' requests. maxMemory is
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -9,8 +9,9 @@
 )
 
 // BodyBudget bounds the memory that the response bodies of one or more Transports, or the
-// request bodies of Servers, take at a time. Each response body may take unbudgetedBodySize beside it, so that the small responses of
-// most requests neither use it up nor fail when large ones do.
+// request bodies of Servers, take at a time. Each response body may take unbudgetedBodySize
+// beside it, so that the small responses of most requests neither use it up nor fail when
+// large ones do.
 type BodyBudget struct {
 	size int64 // bytes
 	used atomic.Int64
--- a/internal/http1/requestbody.go
+++ b/internal/http1/requestbody.go
@@ -44,8 +44,8 @@
 }
 
 // RequestBody returns the body of a request of a Server in chunks, which count in the
-// budgets of the Server until the handler returns. The error states why the server has not read the body completely;
-// such a request must be refused.
+// budgets of the Server until the handler returns. The error states why the server has not
+// read the body completely; such a request must be refused.
 func RequestBody(r *http.Request) ([][]byte, error) {
 	if b, ok := r.Body.(*requestBody); ok {
 		return b.chunks, b.err
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -20,10 +20,10 @@
 	MaxBody      int           // bytes; 0 means 4 MiB
 	ReadTimeout  time.Duration // from one response to the end of the next request; 0 means 60 s
 	WriteTimeout time.Duration // without progress in sending a response; 0 means 10 s
-	// Bodies bounds the memory of the request bodies, and of large heads, from the bytes that have arrived until
-	// the handler has returned. A request for whose body it has no room is passed to the
-	// handler at once, and RequestBody returns ErrRequestBodyBudget. If nil, only MaxBody
-	// applies.
+	// Bodies bounds the memory of the request bodies, and of large heads, from the bytes that
+	// have arrived until the handler has returned. A request for whose body it has no room is
+	// passed to the handler at once, and RequestBody returns ErrRequestBodyBudget. If nil,
+	// only MaxBody applies.
 	Bodies *BodyBudget
 	// SmallBodies takes the first 64 KiB of each request as long as it has room, so that small
 	// requests are received while large ones use up Bodies. It may be nil.
