--- a/internal/http1/idlerace_test.go
+++ b/internal/http1/idlerace_test.go
@@ -13,14 +13,34 @@
 	"time"
 )
 
-// hookedConn calls hooks before each read, and before the address of the peer is returned.
-// nbhttp asks for that when a request is complete and has not been enqueued yet.
+// readFinal reads the next response that is not an interim one.
+func readFinal(t *testing.T, r *bufio.Reader) string {
+	t.Helper()
+	for {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("read the response: %v", err)
+		}
+		if res.StatusCode < 200 {
+			continue
+		}
+		body, err := io.ReadAll(res.Body)
+		if err != nil {
+			t.Fatalf("read the response: %v", err)
+		}
+		return string(body)
+	}
+}
+
+// hookedConn calls those of its hooks that are set: before and after each read, whose number
+// n counts from 1, and once before the address of the peer is returned. nbhttp asks for that
+// when a request is complete and has not been enqueued yet.
 type hookedConn struct {
 	net.Conn
-	beforeRead func(n int) // n counts from 1
-	complete   func()      // called once
-	reads      int
-	once       sync.Once
+	beforeRead, afterRead func(n int)
+	complete              func()
+	reads                 int
+	once                  sync.Once
 }
 
 func (c *hookedConn) SyscallConn() (syscall.RawConn, error) {
@@ -29,12 +49,20 @@
 
 func (c *hookedConn) Read(p []byte) (int, error) {
 	c.reads++
-	c.beforeRead(c.reads)
-	return c.Conn.Read(p)
+	if c.beforeRead != nil {
+		c.beforeRead(c.reads)
+	}
+	n, err := c.Conn.Read(p)
+	if c.afterRead != nil {
+		c.afterRead(c.reads)
+	}
+	return n, err
 }
 
 func (c *hookedConn) RemoteAddr() net.Addr {
-	c.once.Do(c.complete)
+	if c.complete != nil {
+		c.once.Do(c.complete)
+	}
 	return c.Conn.RemoteAddr()
 }
 
@@ -61,6 +89,28 @@
 	return caller
 }
 
+// Guards against a request that has been read, while its connection is closed as idle, and
+// gets no answer.
+func TestRequestReadBeforeIdleCloseIsAnswered(t *testing.T) {
+	s := listen(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	read, resume := make(chan struct{}), make(chan struct{})
+	caller := serveHooked(t, s, &hookedConn{afterRead: func(n int) {
+		if n == 1 {
+			close(read)
+			<-resume
+		}
+	}})
+	if _, err := io.WriteString(caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-read
+	s.closeIdle(time.Now().Add(time.Minute), time.Time{}, time.Second, ClosedIdle)
+	close(resume)
+	if body := readFinal(t, bufio.NewReader(caller)); body != "/1" {
+		t.Errorf("body %q, want /1", body)
+	}
+}
+
 // Guards against a response that is cut off while the server drains, because its connection was
 // found idle just before its request was enqueued.
 func TestIdleCheckBeforeEnqueueKeepsResponse(t *testing.T) {
@@ -105,7 +155,6 @@
 						<-resume
 					}
 				},
-				complete: func() {},
 			})
 			const size = 5 * serverReadBufferSize
 			if _, err := io.WriteString(caller, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n"+strings.Repeat("x", size)); err != nil {
