--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -60,10 +60,6 @@
 	// drainIdleTimeout is how long a server that shuts down waits for another request
 	// on an idle connection before it closes the connection.
 	drainIdleTimeout = 350 * time.Millisecond
-	// discardTimeout is how long the rest of a refused body is read, so that its sender gets
-	// to the response, and discardIdleTimeout how long that waits for more of it.
-	discardTimeout     = 10 * time.Second
-	discardIdleTimeout = time.Second
 	// acceptRetryDelay is the delay after a failed accept, for example because the
 	// process has no free descriptors.
 	acceptRetryDelay = 5 * time.Millisecond
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,11 +21,6 @@
 	// Closing a socket that has unread bytes resets it, and the reset can overtake the
 	// last response.
 	lingerTimeout = 300 * time.Millisecond
-	// discardBufferSize is the size in bytes of the buffer for bytes that are not served.
-	discardBufferSize = 2 << 10
-	// maxDiscarded is the largest size in bytes of what is read after the last response,
-	// unless a body was refused.
-	maxDiscarded = 1 << 20
 )
 
 // serverConn is a connection of a Server. nbhttp writes responses to it.
@@ -193,115 +187,6 @@
 	}
 }
 
-// discard reads on without serving requests, until the connection ends.
-func (c *serverConn) discard() error {
-	buf := make([]byte, discardBufferSize)
-	discarded := 0 // bytes since the last response was sent
-	for {
-		n, err := c.Conn.Read(buf)
-		if err = c.applyExpiry(n, err); err != nil {
-			return err
-		}
-		lingering, refusedBody, err := c.prolongLinger(time.Now())
-		if err != nil {
-			return err
-		}
-		if lingering {
-			discarded += n
-		}
-		if discarded > maxDiscarded && !refusedBody {
-			time.Sleep(lingerTimeout)
-			return errConnClosing
-		}
-	}
-}
-
-// prolongLinger gives the sender of a refused body more time for its rest. It reports
-// whether the last response was sent, and whether a body was refused.
-func (c *serverConn) prolongLinger(now time.Time) (lingering, refusedBody bool, err error) {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	lingering = c.closing && !c.lingerSince.IsZero()
-	if !lingering || !c.refusedBody {
-		return lingering, c.refusedBody, nil
-	}
-	deadline := now.Add(discardIdleTimeout)
-	if end := c.lingerSince.Add(discardTimeout); end.Before(deadline) {
-		deadline = end
-	}
-	return true, true, c.Conn.SetReadDeadline(deadline)
-}
-
-// discarding reports whether a shutdown need not wait for the connection, because its last
-// response was sent and only the rest of a refused body is read. The caller holds Server.mu.
-func (c *serverConn) discarding(now time.Time) bool {
-	return c.refusedBody && !c.lingerSince.IsZero() && now.Sub(c.lingerSince) > lingerTimeout
-}
-
-// isExpired reports whether a read has failed with err because of closeIdle.
-func (c *serverConn) isExpired(err error) bool {
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		return false
-	}
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	return c.expired != "" && !c.closing
-}
-
-// readArrived reads bytes that have arrived before a deadline in the past was set. A read
-// with such a deadline fails without looking for them.
-func (c *serverConn) readArrived(p []byte) (n int, err error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, os.ErrDeadlineExceeded
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
-		return 0, err
-	}
-	var readErr error
-	if err := raw.Read(func(fd uintptr) bool {
-		for readErr = syscall.EINTR; errors.Is(readErr, syscall.EINTR); {
-			n, readErr = syscall.Read(int(fd), p)
-		}
-		return true // else it would wait for bytes
-	}); err != nil {
-		return 0, err
-	}
-	switch {
-	case errors.Is(readErr, syscall.EAGAIN):
-		return 0, os.ErrDeadlineExceeded
-	case readErr != nil:
-		return 0, readErr
-	case n == 0:
-		return 0, io.EOF
-	}
-	return n, nil
-}
-
-// applyExpiry decides, after a read that returned n and err, whether a connection that
-// closeIdle has marked as expired closes. It returns the error that ends the read loop.
-func (c *serverConn) applyExpiry(n int, err error) error {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-	if n > 0 {
-		c.receivedAt = time.Now()
-	}
-	switch {
-	case c.closing, err != nil && !timedOut, err == nil && c.expired == "":
-		return err
-	case n == 0 && c.expired != "":
-		c.setClosing(c.expired, true)
-		return err
-	}
-	c.expired = ""
-	return c.Conn.SetReadDeadline(time.Time{})
-}
-
 func (c *serverConn) isClosing() bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
