direct: a request whose time ends before it is sent ejects no upstream

Cause: a dial that the request's own deadline ends, or that does not start because of it, counted as a dial that failed, and the upstream got no requests for 0.5 to 4 s. The class: the end of a caller's time is taken for a fault of the upstream.

Evidence: TestExpiredRequestDoesNotEjectUpstream failed before with 0, 1, 10 and 50 us left ("not sent: dial tcp 127.0.0.1:46201: i/o timeout").

Change: such an attempt says nothing about the upstream, unless it has taken 100 ms.

Result: the tests of internal/direct, platform and cmd/parsleyproxy pass.

--- /dev/null
+++ b/internal/direct/expired_test.go
@@ -0,0 +1,58 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/balance"
+	"github.com/parsleyproxy/parsleyproxy/internal/http1"
+)
+
+// plainProtocol adds no headers to requests.
+type plainProtocol struct{ Protocol }
+
+func (plainProtocol) UpstreamHeader(http.Header, ForwardMetadata) http.Header { return nil }
+
+// Guards against an upstream that gets no requests for a while because the time of one
+// request ended before it was sent.
+func TestExpiredRequestDoesNotEjectUpstream(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	tr := http1.NewTransport(http1.TransportConfig{DialTimeout: time.Second, IdleTimeout: time.Second, MaxBody: 1 << 10, MaxIdlePerAddr: 1})
+	r := New(Settings{Instance: "i1"}, Platform{Protocol: plainProtocol{}, UpstreamTransport: tr}, NewMetrics(), hclog.NewNullLogger())
+	now := time.Now()
+	r.setUpstreams(now, now, []balance.Registration{{ID: "u", Service: "s", Boot: "1", Addr: ln.Addr().String(), Slots: 6}})
+	u := r.upstreams.Get("u")
+	for _, left := range []time.Duration{0, time.Microsecond, 10 * time.Microsecond, 50 * time.Microsecond} {
+		x := &exchange{method: http.MethodGet, target: "/", deadline: time.Now().Add(left)}
+		ctx, cancel := context.WithDeadline(t.Context(), x.deadline)
+		a := r.send(ctx, x, u)
+		cancel()
+		x.attemptGroup.Release()
+		if a.verdict == balance.Unreachable {
+			t.Errorf("with %v left: the upstream counts as unreachable: %v", left, a.err)
+		}
+	}
+}
+
+// Guards against an upstream that never counts as unreachable because the requests to it
+// have less time than a dial.
+func TestUnreachableWithinShortDeadline(t *testing.T) {
+	now := time.Now()
+	ctx, cancel := context.WithDeadline(t.Context(), now)
+	defer cancel()
+	a := attempt{err: &http1.NotSentError{Addr: "1.2.3.4:5", Err: context.DeadlineExceeded}}
+	got := []balance.Verdict{classify(ctx, now, a, minConnectTime-1), classify(ctx, now, a, minConnectTime), classify(ctx, now.Add(-1), a, 0)}
+	if diff := cmp.Diff([]balance.Verdict{balance.Abandoned, balance.Unreachable, balance.Unreachable}, got); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -94,7 +94,7 @@
 	if a.response != nil && a.response.Stream != nil && (a.err != nil || a.metadata.NotRun) {
 		a.response.Stream.Close() // a refusal is not passed on
 	}
-	a.verdict = classify(ctx, a)
+	a.verdict = classify(ctx, now, a, now.Sub(sentAt))
 	r.mu.Lock()
 	noAnswer := a.verdict == balance.Silent && !upstream.AnsweredSince(sentAt)
 	r.upstreams.Ended(now, upstream, a.verdict, now.Sub(sentAt), a.metadata.Load)
@@ -193,12 +193,21 @@
 	return id == requestID || id == "" && firstOnConn
 }
 
-// classify returns the verdict on an attempt for load balancing.
-func classify(ctx context.Context, a attempt) balance.Verdict {
+// minConnectTime is the time that an upstream has to accept a connection before it counts
+// as unreachable.
+const minConnectTime = 100 * time.Millisecond
+
+// classify returns the verdict on an attempt that took the given time, for load balancing.
+// ctx is that of the request.
+func classify(ctx context.Context, now time.Time, a attempt, took time.Duration) balance.Verdict {
 	var notSent *http1.NotSentError
+	deadline, hasDeadline := ctx.Deadline()
+	expired := hasDeadline && !now.Before(deadline) // ctx.Err may still be nil
 	switch {
 	case a.err != nil && errors.Is(ctx.Err(), context.Canceled):
 		return balance.Abandoned
+	case expired && took < minConnectTime && errors.As(a.err, &notSent):
+		return balance.Abandoned
 	case errors.Is(a.err, errNotAllowed), errors.Is(a.err, errStopping):
 		return balance.Abandoned
 	case errors.Is(a.err, http1.ErrConnRejected):
