direct: connections of callers follow the idle timeout of the configuration

What callers saw: with an idle timeout over 37.5 s, of which they use up to four fifths, a request could cross the close of its connection after 30 s and got a reset.

Cause: limits.idleTimeout of the configuration was not read.

Change: the caller's server keeps connections for the idle timeout in force, also those that are open when it changes, and for 30 s at least.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -268,6 +268,9 @@
 		}
 	}
 	r.upstreams.Evacuate(now, next.Evacuated)
+	if callers := r.callers.Load(); callers != nil && next.Table != nil {
+		callers.SetReadTimeout(max(serverReadTimeout, next.Table.IdleTimeout))
+	}
 	r.mu.Unlock()
 	if next.Table != nil && (cur == nil || cur.Table == nil || cur.Table.Version != next.Table.Version) {
 		r.log.Info("configuration in force", "version", uint64(next.Table.Version), "revision", next.Revision)
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// serverReadTimeout is how long a caller's connection may be idle. Callers reuse
-	// connections for up to four fifths of the idle timeout of 15 s that operators set.
+	// serverReadTimeout is how long a connection may be idle, those of callers at least. The
+	// operators may set a longer idle timeout, of which callers use up to four fifths.
 	serverReadTimeout = 30 * time.Second
 	// maxRecentMaps bounds the recent holder maps that are kept to compute changes for
 	// replies.
--- a/internal/http1/idlerace_test.go
+++ b/internal/http1/idlerace_test.go
@@ -169,3 +169,14 @@
 		})
 	}
 }
+
+// Guards against open connections that keep the read timeout of the time when they were opened.
+func TestReadTimeoutOfOpenConn(t *testing.T) {
+	s := listen(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	c := dial(t, s)
+	waitForOnlyConn(t, s)
+	s.SetReadTimeout(time.Millisecond)
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("read = %v, want io.EOF", err)
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -79,7 +79,9 @@
 	engine   *nbhttp.Engine // not started; holds the settings of parsers
 	listener net.Listener
 	draining atomic.Bool
-	stop     chan struct{}
+	// readTimeout is the ReadTimeout in force, a time.Duration.
+	readTimeout atomic.Int64
+	stop        chan struct{}
 
 	mu           sync.Mutex
 	conns        map[*serverConn]struct{}
@@ -104,6 +106,7 @@
 		cfg: cfg, listener: ln, stop: make(chan struct{}),
 		conns: make(map[*serverConn]struct{}), waitingSlots: make(map[*http.Request]*responseSlot),
 	}
+	s.SetReadTimeout(cfg.ReadTimeout)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "http1-server", SupportServerOnly: true,
 		ReadLimit:      maxRequestHead,
@@ -145,6 +148,12 @@
 	}
 }
 
+// SetReadTimeout replaces ServerConfig.ReadTimeout, also for open connections.
+func (s *Server) SetReadTimeout(d time.Duration) { s.readTimeout.Store(int64(d)) }
+
+// ReadTimeout returns the read timeout in force.
+func (s *Server) ReadTimeout() time.Duration { return time.Duration(s.readTimeout.Load()) }
+
 // addConn registers a new connection. It returns nil if the server is stopped or has
 // MaxConns connections.
 func (s *Server) addConn(nc net.Conn) *serverConn {
@@ -215,7 +224,7 @@
 		case <-s.stop:
 			return
 		case now := <-tick.C:
-			s.closeIdle(now, time.Time{}, s.cfg.ReadTimeout, ClosedIdle)
+			s.closeIdle(now, time.Time{}, s.ReadTimeout(), ClosedIdle)
 		}
 	}
 }
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -21,6 +21,9 @@
 	Services map[fleet.ServiceID]Service
 	Accounts map[fleet.AccountID]Account
 
+	// IdleTimeout is how long callers may leave a connection idle; 0 if it is not stated.
+	IdleTimeout time.Duration
+
 	// Problems describes the routes that are served with restrictions.
 	Problems []string
 
