http1: a shutdown accepts the connections that wait

What callers saw: requests on new connections got a reset when an instance stopped while the balancer still sent it connections.

Cause: the close of a listener resets the connections in its queue, whose requests the kernel has received.

--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -423,3 +423,30 @@
 		_, _ = io.Copy(io.Discard, res.Body)
 	}
 }
+
+// Guards against a shutdown that resets connections which wait to be accepted.
+func TestShutdownServesWaitingConns(t *testing.T) {
+	s := listen(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	s.mu.Lock() // keeps connections from being accepted
+	var conns []net.Conn
+	for range 20 {
+		c := dial(t, s)
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	waitFor(t, func() bool { return s.draining.Load() })
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Unlock()
+	for i, c := range conns {
+		if body := readFinal(t, bufio.NewReader(c)); body != "done" {
+			t.Errorf("connection %d: body %q, want done", i, body)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown = %v", err)
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,12 @@
 	// acceptRetryDelay is the delay after a failed accept, for example because the
 	// process has no free descriptors.
 	acceptRetryDelay = 5 * time.Millisecond
+	// acceptDrainTime is how long a shutdown waits for another connection to accept, in all
+	// at most maxAcceptDrainTime. An accept whose deadline has passed fails even if
+	// connections wait, so that it is retried acceptRetries times.
+	acceptDrainTime    = 10 * time.Millisecond
+	maxAcceptDrainTime = 200 * time.Millisecond
+	acceptRetries      = 2
 )
 
 // Server is an HTTP/1.1 server on one address. Pipelined requests run concurrently,
@@ -77,8 +84,12 @@
 type Server struct {
 	cfg      ServerConfig
 	engine   *nbhttp.Engine // not started; holds the settings of parsers
-	listener net.Listener
+	listener *net.TCPListener
 	draining atomic.Bool
+	// finishing states that no connection is accepted but those that wait already, and
+	// accepted is closed after the last one.
+	finishing atomic.Bool
+	accepted  chan struct{}
 	// readTimeout is the ReadTimeout in force, a time.Duration.
 	readTimeout atomic.Int64
 	stop        chan struct{}
@@ -103,7 +114,7 @@
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Addr)
 	}
 	s := &Server{
-		cfg: cfg, listener: ln, stop: make(chan struct{}),
+		cfg: cfg, listener: ln.(*net.TCPListener), stop: make(chan struct{}), accepted: make(chan struct{}),
 		conns: make(map[*serverConn]struct{}), waitingSlots: make(map[*http.Request]*responseSlot),
 	}
 	s.SetReadTimeout(cfg.ReadTimeout)
@@ -129,17 +140,34 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// accept serves new connections until the listener is closed.
+// accept serves new connections until the listener is closed. If a shutdown begins, it
+// first accepts those that wait: the close of the listener would reset them.
 func (s *Server) accept() {
-	for {
+	defer close(s.accepted)
+	var finishBy time.Time
+	for timeouts := 0; timeouts <= acceptRetries; {
+		if s.finishing.Load() {
+			now := time.Now()
+			if finishBy.IsZero() {
+				finishBy = now.Add(maxAcceptDrainTime)
+			}
+			if now.After(finishBy) {
+				return
+			}
+			_ = s.listener.SetDeadline(now.Add(acceptDrainTime)) // fails only on a closed listener
+		}
 		nc, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
-		}
-		if err != nil {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			timeouts++
+			continue
+		case err != nil:
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		timeouts = 0
 		if c := s.addConn(nc); c != nil {
 			go c.serve()
 		} else {
@@ -148,6 +176,17 @@
 	}
 }
 
+// finishAccepting closes the listener once no connection waits to be accepted.
+func (s *Server) finishAccepting(ctx context.Context) {
+	s.finishing.Store(true)
+	_ = s.listener.SetDeadline(time.Now()) // wakes accept; fails only on a closed listener
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+	}
+	_ = s.listener.Close()
+}
+
 // SetReadTimeout replaces ServerConfig.ReadTimeout, also for open connections.
 func (s *Server) SetReadTimeout(d time.Duration) { s.readTimeout.Store(int64(d)) }
 
@@ -198,7 +237,7 @@
 // within drainIdleTimeout. It returns ctx's error if ctx ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	_ = s.listener.Close()
+	s.finishAccepting(ctx)
 	drainStart := time.Now()
 	tick := time.NewTicker(drainCheckInterval)
 	defer tick.Stop()
