http1: a test of waiting connections waits for a condition

TestShutdownServesWaitingConns slept 20 ms before the server could accept again; it waits now until the shutdown has begun to finish accepting.

--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -438,8 +438,7 @@
 	}
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.Shutdown(t.Context()) }()
-	waitFor(t, func() bool { return s.draining.Load() })
-	time.Sleep(20 * time.Millisecond)
+	waitFor(t, func() bool { return s.finishing.Load() })
 	s.mu.Unlock()
 	for i, c := range conns {
 		if body := readFinal(t, bufio.NewReader(c)); body != "done" {
