--- a/cmd/parsleyproxy/uploads_linux_test.go
+++ b/cmd/parsleyproxy/uploads_linux_test.go
@@ -10,13 +10,13 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	standin "github.com/parsleyproxy/parsleyproxy/internal/standin/front"
+	"github.com/parsleyproxy/parsleyproxy/internal/standin/lab"
 	"github.com/parsleyproxy/parsleyproxy/platform"
 )
 
@@ -73,22 +73,6 @@
 	return "", nil
 }
 
-// peakMemory returns the peak resident memory of a process in bytes.
-func peakMemory(t *testing.T, p *os.Process) int {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, line, _ := strings.Cut(string(status), "VmHWM:")
-	line, _, _ = strings.Cut(line, "kB")
-	kb, err := strconv.Atoi(strings.TrimSpace(line))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return kb << 10
-}
-
 // Guards against request bodies that take an instance over its memory limit, at which the
 // platform kills it with all requests in progress.
 func TestUploadsStayWithinMemoryLimit(t *testing.T) {
@@ -173,7 +157,10 @@
 			if n := served.Load(); n == 0 {
 				t.Error("no upload was served")
 			}
-			peak := peakMemory(t, process)
+			peak, err := lab.PeakMemory(process.Pid)
+			if err != nil {
+				t.Fatal(err)
+			}
 			t.Logf("%d of %d uploads served, peak memory %d MiB", served.Load(), count, peak>>20)
 			if peak >= memoryLimit {
 				t.Errorf("peak memory %d bytes, limit %d", peak, memoryLimit)
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	standin "github.com/parsleyproxy/parsleyproxy/internal/standin/front"
+	"github.com/parsleyproxy/parsleyproxy/internal/standin/lab"
 )
 
 const (
@@ -228,7 +229,7 @@
 	upstreams *endlessPeer
 	faulty    string // address of the faulty upstreams
 	lastID    atomic.Int64
-	peak      int // KiB
+	peak      int // bytes
 }
 
 // newEndlessEnv starts an instance. If leader is not empty, the store names a leader at that
@@ -327,22 +328,13 @@
 // ended or exceeded its limit.
 func (e *endlessEnv) measure(phase string, n int) {
 	e.t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.in.cmd.Process.Pid))
+	peak, err := lab.PeakMemory(e.in.cmd.Process.Pid)
 	if err != nil {
 		e.t.Fatalf("%s: the instance has ended: %v", phase, err)
 	}
-	_, after, _ := strings.Cut(string(text), "VmHWM:")
-	fields := strings.Fields(after)
-	if len(fields) == 0 {
-		e.t.Fatalf("%s: the instance has ended", phase)
-	}
-	peak, err := strconv.Atoi(fields[0])
-	if err != nil {
-		e.t.Fatal(err)
-	}
-	e.t.Logf("%-30s %4d calls, peak memory so far %3d MiB", phase, n, peak>>10)
-	if peak > endlessMemory<<10 && e.peak <= endlessMemory<<10 {
-		e.t.Errorf("%s: peak memory %d MiB, the limit is %d MiB", phase, peak>>10, endlessMemory)
+	e.t.Logf("%-30s %4d calls, peak memory so far %3d MiB", phase, n, peak>>20)
+	if peak > endlessMemory<<20 && e.peak <= endlessMemory<<20 {
+		e.t.Errorf("%s: peak memory %d MiB, the limit is %d MiB", phase, peak>>20, endlessMemory)
 	}
 	e.peak = max(e.peak, peak)
 }
