--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -52,8 +52,16 @@
 	Timeout       time.Duration // maximum time until the answer
 	Target        time.Duration // target latency
 	Public        bool          // requests need no caller key
+	Priority      Priority
 }
 
+// Priority is the rank of requests when an upstream service has less capacity than is
+// requested; 0 is the most urgent.
+type Priority int
+
+// MaxPriority is the least urgent rank. Higher numbers count as this one.
+const MaxPriority = 15
+
 // TrafficShare is the share of a route's traffic that one service gets.
 type TrafficShare struct {
 	Service fleet.ServiceID
@@ -62,8 +70,18 @@
 
 // Account is a client account. A zero Limit means that there is no limit.
 type Account struct {
-	ID    fleet.AccountID
-	Limit fleet.Limit
+	ID          fleet.AccountID
+	Limit       fleet.Limit
+	HasPriority bool // Priority takes precedence over that of the route
+	Priority    Priority
+}
+
+// PriorityOf returns the rank of a request of an account on a route.
+func PriorityOf(r *Route, a Account) Priority {
+	if a.HasPriority {
+		return a.Priority
+	}
+	return r.Priority
 }
 
 // NewTable returns the table of a configuration. It keeps keys and list, which must not
