direct: a request that reached no upstream is refused as not run

An attempt now registers before its first byte is written; at the end of the request's time the answer is 503 if none has, and later attempts are not written. A table test covers the cases.

--- a/internal/direct/expired_test.go
+++ b/internal/direct/expired_test.go
@@ -35,7 +35,7 @@
 	for _, left := range []time.Duration{0, time.Microsecond, 10 * time.Microsecond, 50 * time.Microsecond} {
 		x := &exchange{method: http.MethodGet, target: "/", deadline: time.Now().Add(left)}
 		ctx, cancel := context.WithDeadline(t.Context(), x.deadline)
-		a := r.send(ctx, x, u)
+		a := r.send(ctx, x, u, 0)
 		cancel()
 		x.attemptGroup.Release()
 		if a.verdict == balance.Unreachable {
@@ -56,3 +56,30 @@
 		t.Errorf("verdicts (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a request that reached no upstream and is answered with a status that does
+// not let its caller repeat it, and against a promise that an attempt breaks afterwards.
+func TestExpiredRequestStatesWhetherItMayHaveRun(t *testing.T) {
+	for name, tc := range map[string]struct {
+		attempts func(s *sends)
+		want     int
+	}{
+		"nothing written":            {func(*sends) {}, http.StatusServiceUnavailable},
+		"written":                    {func(s *sends) { _ = s.begin(0) }, http.StatusGatewayTimeout},
+		"refused by its upstream":    {func(s *sends) { _ = s.begin(0); s.notRun(0) }, http.StatusServiceUnavailable},
+		"refused, then written":      {func(s *sends) { _ = s.begin(0); s.notRun(0); _ = s.begin(1) }, http.StatusGatewayTimeout},
+		"written again to one":       {func(s *sends) { _ = s.begin(0); _ = s.begin(0); s.notRun(0) }, http.StatusServiceUnavailable},
+		"one of two refused so far ": {func(s *sends) { _ = s.begin(0); _ = s.begin(1); s.notRun(1) }, http.StatusGatewayTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fanOut{x: &exchange{}}
+			tc.attempts(&f.x.sends)
+			if got := f.refuseExpired().status; got != tc.want {
+				t.Errorf("status %d, want %d", got, tc.want)
+			}
+			if f.x.sends.begin(2) == nil {
+				t.Error("an attempt may be written after the answer")
+			}
+		})
+	}
+}
--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -85,11 +85,20 @@
 				f.launch(ctx)
 			}
 		case <-ctx.Done():
-			return refuse(http.StatusGatewayTimeout, "timeout", 0)
+			return f.refuseExpired()
 		}
 	}
 }
 
+// refuseExpired refuses a request whose time has ended, or whose caller has left, before an
+// attempt has ended.
+func (f *fanOut) refuseExpired() outcome {
+	if f.x.sends.close() {
+		return refuse(http.StatusGatewayTimeout, "timeout", 0)
+	}
+	return refuse(http.StatusServiceUnavailable, "timeout", retryAfterFull)
+}
+
 // fanOut tracks the concurrent and consecutive attempts of one request at several
 // upstreams.
 type fanOut struct {
@@ -133,9 +142,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	f.cancels = append(f.cancels, cancel)
 	go func() {
-		a := f.r.send(ctx, f.x, upstream)
-		a.index = index
-		f.results <- a
+		f.results <- f.r.send(ctx, f.x, upstream, index)
 	}()
 }
 
@@ -192,7 +199,7 @@
 			return refuse(http.StatusServiceUnavailable, "instance-stops", retryAfterFull), false
 		}
 		if ctx.Err() != nil {
-			return refuse(http.StatusGatewayTimeout, "timeout", 0), false
+			return f.refuseExpired(), false
 		}
 	}
 }
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -60,16 +61,22 @@
 	return !errors.As(a.err, &notSent) && (a.err != nil || !a.metadata.NotRun)
 }
 
-// send sends x to an upstream and records the result.
-func (r *Router) send(ctx context.Context, x *exchange, upstream *balance.Entry) attempt {
+// send sends x to an upstream and records the result. index identifies the attempt among
+// those of x.
+func (r *Router) send(ctx context.Context, x *exchange, upstream *balance.Entry, index int) attempt {
 	sentAt := time.Now()
 	r.mu.Lock()
 	run := upstream.Registration
 	r.mu.Unlock()
-	a := attempt{upstream: upstream, id: run.ID}
+	a := attempt{index: index, upstream: upstream, id: run.ID}
 	req := &http1.Request{
 		Method: x.method, Target: x.target, Host: x.host, Chunks: x.body, Attempts: &x.attemptGroup, Stream: true,
-		BeforeWrite: func() error { return r.checkSend(time.Now(), x, upstream) },
+		BeforeWrite: func() error {
+			if err := r.checkSend(time.Now(), x, upstream); err != nil {
+				return err
+			}
+			return x.sends.begin(index)
+		},
 		Header:      r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
@@ -95,6 +102,9 @@
 		a.response.Stream.Close() // a refusal is not passed on
 	}
 	a.verdict = classify(ctx, now, a, now.Sub(sentAt))
+	if !a.mayHaveRun() {
+		x.sends.notRun(index)
+	}
 	r.mu.Lock()
 	noAnswer := a.verdict == balance.Silent && !upstream.AnsweredSince(sentAt)
 	r.upstreams.Ended(now, upstream, a.verdict, now.Sub(sentAt), a.metadata.Load)
@@ -106,6 +116,46 @@
 	return a
 }
 
+// sends tracks which attempts of a request may have run, so that a refusal that promises
+// the contrary stays true while attempts are still in progress.
+type sends struct {
+	mu     sync.Mutex
+	closed bool
+	begun  map[int]bool // attempts of which a byte may have been written
+}
+
+// errRequestEnded means that a request was answered before an attempt was written.
+var errRequestEnded = errors.New("the request has already been answered")
+
+// begin records that an attempt is about to be written, unless the request has ended.
+func (s *sends) begin(index int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errRequestEnded
+	}
+	if s.begun == nil {
+		s.begun = make(map[int]bool)
+	}
+	s.begun[index] = true
+	return nil
+}
+
+// notRun records that an attempt has ended and that its upstream has not run the request.
+func (s *sends) notRun(index int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.begun, index)
+}
+
+// close prevents further attempts from being written, and reports whether one may have run.
+func (s *sends) close() (mayHaveRun bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	return len(s.begun) > 0
+}
+
 // errStopping means that this instance stops before an upstream could answer a request.
 var errStopping = errors.New("the instance stops before the upstream could answer")
 
@@ -208,7 +258,7 @@
 		return balance.Abandoned
 	case expired && took < minConnectTime && errors.As(a.err, &notSent):
 		return balance.Abandoned
-	case errors.Is(a.err, errNotAllowed), errors.Is(a.err, errStopping):
+	case errors.Is(a.err, errNotAllowed), errors.Is(a.err, errStopping), errors.Is(a.err, errRequestEnded):
 		return balance.Abandoned
 	case errors.Is(a.err, http1.ErrConnRejected):
 		return balance.Full
--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		x.arrivals++
-		a := r.send(ctx, x, upstream)
+		a := r.send(ctx, x, upstream, x.arrivals)
 		if a.err == nil && !a.metadata.NotRun {
 			return upstreamOutcome(r.platform.Protocol, x, a)
 		}
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -42,6 +42,7 @@
 	account              routes.Account
 	service              routes.Service
 
+	sends        sends
 	arrivals     int                // number of times that the request was sent to an upstream
 	attempts     []string           // descriptions of the attempts, for the log
 	attemptGroup http1.AttemptGroup // of all attempts; released once the answer is written
@@ -60,6 +61,9 @@
 	retryAfter time.Duration
 }
 
+// reasonTimeout is the reason in the refusal of a request whose time has ended.
+const reasonTimeout = "timeout"
+
 func refuse(status int, reason string, retryAfter time.Duration) outcome {
 	return outcome{status: status, reason: reason, retryAfter: retryAfter}
 }
@@ -74,7 +78,7 @@
 	defer x.cancel()
 	r.logRequest(x, out)
 	if out.reason != "" {
-		if out.status == http.StatusGatewayTimeout && req.Context().Err() != nil {
+		if (out.status == http.StatusGatewayTimeout || out.reason == reasonTimeout) && req.Context().Err() != nil {
 			return // the caller has closed the connection
 		}
 		out.header = r.platform.Protocol.RefusalHeader(x.info.ID, out.retryAfter)
