--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -497,27 +497,19 @@
 	entries := r.upstreams.Service(id)
 	mean := 0.0
 	for _, e := range entries {
-		mean += max(r.upstreams.LongMeanTime(now, e), minServiceTime) / float64(len(entries))
+		mean += max(r.upstreams.LongMeanTime(now, e), balance.MinServiceTime) / float64(len(entries))
 	}
 	var list []keyspace.Upstream
 	for _, e := range entries {
-		s := max(r.upstreams.LongMeanTime(now, e), minServiceTime)
-		capacity := float64(e.Slots) / s
-		if limit := float64(e.LimitRate()); limit > 0 {
-			capacity = min(capacity, limit)
-		}
+		s := max(r.upstreams.LongMeanTime(now, e), balance.MinServiceTime)
 		list = append(list, keyspace.Upstream{
 			ID: e.ID, Boot: e.Boot, Usable: r.upstreams.Usable(e), Cold: e.Cold(now),
-			Capacity: capacity, Speed: mean / s,
+			Capacity: r.upstreams.Capacity(now, e).Rate, Speed: mean / s,
 		})
 	}
 	return list
 }
 
-// minServiceTime, in seconds, bounds the assumed service time from below. Otherwise an
-// upstream that answered a few requests immediately would be assigned all keys.
-const minServiceTime = 0.005
-
 // updateMembers removes instances that have stopped reporting, but not while the lease is
 // invalid: a leader that has lost the others must not become its own majority. It records
 // the current instances if their number has grown, or fallen below minRecordedShare of the
