--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -8,8 +8,8 @@
 	InFlight float64 // requests in flight, of all instances
 }
 
-// MinServiceTime, in seconds, bounds the assumed service time from below. Otherwise an
-// upstream that answered a few requests immediately would be assigned all keys.
+// MinServiceTime is the shortest assumed service time in seconds. Without it, an upstream
+// that answered a few requests immediately would be assigned all keys.
 const MinServiceTime = 0.005
 
 // Capacity returns the capacity of e.
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -77,7 +77,7 @@
 			}
 			return x.sends.begin(index)
 		},
-		Header:      r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
+		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
 		metadata := r.platform.Protocol.ParseResponse(res.Status, res.Header)
