direct: one question for several requests of an account to its home

Cause: each request of an account with a small limit was a call of its home. 12 in-process instances made 2,189 questions for 2,388 requests (limit 30/s), and admitted 177 to 183 requests in 3 s of a limit of 30/s while every second answer of the home came after the timeout; 119 are allowed.

Requests that arrive while a question is on its way wait for the next one, and an instance decides by the last answer while it counts (internal/quota). Questions are sent with POST to the same path; GET is answered as before for instances of earlier versions. Claims for limits that upstreams name are sent as before.

--- a/internal/direct/homes.go
+++ b/internal/direct/homes.go
@@ -5,13 +5,10 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 
-	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/quota"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
@@ -44,6 +41,8 @@
 	home      *quota.Home[K]     // used for keys whose home is this instance
 	homes     map[K][]fleet.Peer // cache; follows from the instances
 	name      func(K) string     // by which the homes of a key are chosen
+	// questions is used instead of request for limits of client accounts.
+	questions questioner[K]
 	// request sends a claim to the home of its key.
 	request func(ctx context.Context, home fleet.Peer, c claim[K]) (quota.Decision, error)
 	// logFailure logs that the home of a claim's key did not answer.
@@ -58,10 +57,10 @@
 	id      fleet.RequestID
 }
 
-func newLimiter[K comparable](now time.Time, tolerance quota.Config) limiter[K] {
+func newLimiter[K comparable](now time.Time, run quota.Run, tolerance quota.Config) limiter[K] {
 	return limiter[K]{
 		tolerance: tolerance, divided: quota.New[K](now, tolerance), fallback: quota.New[K](now, tolerance),
-		home: quota.NewHome[K](tolerance), homes: make(map[K][]fleet.Peer),
+		home: quota.NewHome[K](tolerance), questions: newQuestioner[K](run, tolerance.Window), homes: make(map[K][]fleet.Peer),
 	}
 }
 
@@ -70,6 +69,7 @@
 	l.divided.SetConfig(tolerance)
 	l.fallback.SetConfig(tolerance)
 	l.home.SetConfig(tolerance)
+	l.questions.asker.SetWindow(tolerance.Window)
 }
 
 // forget removes what is counted for a key that has no limit any more.
@@ -77,6 +77,7 @@
 	l.divided.Forget(key)
 	l.fallback.Forget(key)
 	l.home.Forget(key)
+	l.questions.asker.Forget(key)
 	delete(l.homes, key)
 }
 
@@ -86,7 +87,15 @@
 	n := r.instanceCount()
 	if l.tolerance.Divided(c.limit, n) || len(r.instances) == 0 {
 		defer r.mu.Unlock()
-		return l.divided.Reserve(now, c.key, c.limit, n, c.maxWait)
+		d := l.divided.Reserve(now, c.key, c.limit, n, c.maxWait)
+		if d.Admitted && !l.tolerance.Divided(c.limit, 2*n) { // a home may count after a change of the fleet
+			l.questions.asker.Admitted(now, c.key, 1)
+		}
+		return d
+	}
+	if l.questions.send != nil {
+		r.mu.Unlock()
+		return l.reserveByQuestion(ctx, r, now, c)
 	}
 	l.divided.CountedByHome(now, c.key, c.limit)
 	homes := l.availableHomes(now, r, c.key)
@@ -167,31 +176,9 @@
 	r.log.Info("account home did not answer", "request", c.id, "account", c.key, "home", home, "error", err)
 }
 
-// requestToken requests a token from a home of the account, which has the account's limit
-// from the configuration. Requests under such a limit do not wait.
-func (r *Router) requestToken(ctx context.Context, home fleet.Peer, c claim[fleet.AccountID]) (quota.Decision, error) {
-	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
-	defer cancel()
-	res, err := r.peers.Do(ctx, home.Addr, &http1.Request{Method: http.MethodGet, Target: tokensPath + "?" + url.QueryEscape(string(c.key))}, nil)
-	if err != nil {
-		return quota.Decision{}, err
-	}
-	switch res.Status {
-	case http.StatusOK:
-		return quota.Decision{Admitted: true}, nil
-	case http.StatusTooManyRequests:
-		waitMillis, err := strconv.ParseInt(strings.TrimSpace(string(res.Body)), 10, 64)
-		if err != nil {
-			return quota.Decision{}, errors.Wrap(err, "decode the time until the next token")
-		}
-		return quota.Decision{Wait: time.Duration(waitMillis) * time.Millisecond}, nil
-	}
-	return quota.Decision{}, errors.Errorf("unexpected status %d", res.Status)
-}
-
 // serveToken handles a token request of another instance for an account whose home is
-// this instance.
-func (r *Router) serveToken(w http.ResponseWriter, req *http.Request) {
+// this instance. A GET asks for one token, as instances of earlier versions do.
+func (r *Router) serveToken(w http.ResponseWriter, req *http.Request, body []byte) {
 	id, err := url.QueryUnescape(req.URL.RawQuery)
 	var account routes.Account
 	known := false
@@ -206,6 +193,10 @@
 		w.WriteHeader(http.StatusOK)
 		return
 	}
+	if req.Method == http.MethodPost {
+		r.answerQuestion(w, account.ID, account.Limit, body)
+		return
+	}
 	r.mu.Lock()
 	ok, wait := r.accounts.home.Admit(time.Now(), account.ID, account.Limit)
 	r.mu.Unlock()
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -29,6 +29,8 @@
 	invalidLimits   prometheus.Counter
 	pauseSeconds    *prometheus.CounterVec // by service
 	leavingUse      prometheus.Histogram
+	homeQuestions   *prometheus.CounterVec // by result
+	homeDecisions   *prometheus.CounterVec // by by, result
 
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
 	refreshGauges        func(now time.Time)
@@ -104,6 +106,7 @@
 		Name: "parsleyproxy_direct_leaving_use_seconds", Help: "Time from the earliest moment at which an upstream may have started to leave to the last request sent to it.",
 		Buckets: leavingUseBuckets,
 	})
+	m.registerHomeMetrics()
 	m.leavingByAnswer = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "parsleyproxy_direct_upstreams_leaving_by_answer", Help: "Upstreams whose answers say that they leave.",
 	}, []string{"service"})
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -372,7 +372,7 @@
 		r.serveLeader(w)
 		return
 	case tokensPath:
-		r.serveToken(w, req)
+		r.serveToken(w, req, body)
 		return
 	case upstreamTokensPath:
 		r.serveUpstreamToken(w, body)
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -17,6 +17,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/quota"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -130,18 +131,20 @@
 		peers:                http1.NewTransport(http1.TransportConfig{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxBody: maxPeerBody, MaxIdlePerAddr: 2, CloseIdleOnError: true}),
 		operatorReadRequests: make(chan struct{}, 1), configured: make(chan struct{}),
 		leaderList: newLeaderList(), update: make(chan struct{}), recentMaps: make(map[keyspace.MapVersion]*keyspace.Map),
-		accounts: newLimiter[fleet.AccountID](now, accountTolerance(cfg.Quota)), upstreamLimits: newLimiter[balance.Run](now, upstreamTolerance),
 		homeFailedAt: make(map[fleet.InstanceID]time.Time), limitLog: newLimitLog(),
 		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}), newsReady: make(chan struct{}),
 		requestedKeys:  make(map[fleet.ServiceID][]keyspace.Key),
 		evacuatedSince: make(map[fleet.ZoneID]time.Time), evacuationEndedAt: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
 		rng: rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 	}
+	run := quota.Run{Instance: cfg.Instance, Boot: r.boot}
+	r.accounts = newLimiter[fleet.AccountID](now, run, accountTolerance(cfg.Quota))
+	r.upstreamLimits = newLimiter[balance.Run](now, run, upstreamTolerance)
 	r.stopping, r.cancelStopping = context.WithCancel(context.Background())
 	r.splitter = routes.NewSplitter(r.rng)
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
-	r.accounts.request, r.accounts.logFailure = r.requestToken, r.logAccountHomeFailure
+	r.accounts.questions.send, r.accounts.logFailure = r.askAccountHome, r.logAccountHomeFailure
 	r.upstreamLimits.name = runName
 	r.upstreamLimits.request, r.upstreamLimits.logFailure = r.requestUpstreamToken, r.logUpstreamHomeFailure
 	m.refreshGauges = r.updateGauges
