http1: a new connection of a Pool joins the event loop after its pending events

Cause: nbio closes descriptors on any goroutine, and its event loop looks up the connection of an event by number. The end of a closed connection that the loop had fetched was applied to a new connection with the same number: "request to ADDR lost: EOF" though the server ran it.

Pool.dial converts the connection, so that it holds its number, and waits until the loop has applied what it fetched before (loopBarrier: two bytes through a socket pair in the loop). The clients use one event loop, where processes on machines with 8 and more processors had NumCPU / 4.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -36,7 +36,8 @@
 
 // Client is a set of connection pools that are closed together.
 type Client struct {
-	engine *nbhttp.Engine
+	engine  *nbhttp.Engine
+	barrier *loopBarrier
 
 	mu    sync.Mutex
 	pools []*Pool
@@ -46,12 +47,13 @@
 // body with a length to the same size, but not one in chunks.
 const maxPoolBody = nbhttp.DefaultHTTPReadLimit
 
-// sharedEngine starts the event loops that all clients of the process share. The
+// sharedEngine starts the event loop that all clients of the process share. The
 // engine is never stopped: nbio ignores a Stop call made before its pollers run and
 // then blocks forever.
-var sharedEngine = sync.OnceValues(func() (*nbhttp.Engine, error) {
+var sharedEngine = sync.OnceValues(func() (*Client, error) {
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name: "http1-client", SupportServerOnly: true, MaxHTTPBodySize: maxPoolBody,
+		NPoller: 1, // loopBarrier waits for one event loop
 		// Response handlers run outside the event loop. If a connection closes while its
 		// handler runs, nbio runs the close callback after the handler; the callback locks
 		// the parser, which the event loop holds, so the event loop would deadlock.
@@ -64,16 +66,20 @@
 	if err := engine.Start(); err != nil {
 		return nil, errors.Wrap(err, "start client engine")
 	}
-	return engine, nil
+	barrier, err := newLoopBarrier(engine)
+	if err != nil {
+		return nil, errors.Wrap(err, "start client engine")
+	}
+	return &Client{engine: engine, barrier: barrier}, nil
 })
 
 // NewClient returns a client without pools.
 func NewClient() (*Client, error) {
-	engine, err := sharedEngine()
+	shared, err := sharedEngine()
 	if err != nil {
 		return nil, err
 	}
-	return &Client{engine: engine}, nil
+	return &Client{engine: shared.engine, barrier: shared.barrier}, nil
 }
 
 // Close closes all pools.
@@ -257,8 +263,7 @@
 
 // maxAttempts limits how often Do tries another connection when the one that it took
 // was already closed. nbio closes an idle connection shortly before it reports the
-// close, and an event for a closed connection can close a new connection that reuses
-// its file descriptor.
+// close.
 const maxAttempts = 3
 
 // closedBeforeWrite reports whether a request failed because its connection was closed
@@ -407,7 +412,7 @@
 	c.nbConn = &nbhttp.ClientConn{
 		Engine: p.client.engine,
 		Dial: func(network, addr string) (net.Conn, error) {
-			nc, err := net.DialTimeout(network, addr, p.cfg.DialTimeout)
+			nc, err := p.dial(network, addr)
 			c.dialed = err == nil
 			return nc, err
 		},
@@ -416,6 +421,25 @@
 	return c
 }
 
+// dial returns a new connection of which the event loop has no events of an earlier one with
+// the same descriptor.
+func (p *Pool) dial(network, addr string) (net.Conn, error) {
+	nc, err := net.DialTimeout(network, addr, p.cfg.DialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	c, err := nbio.NBConn(nc) // duplicates the descriptor and closes nc
+	if err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	if err := p.client.barrier.wait(p.cfg.DialTimeout); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // usable reports whether the connection is not known to be closed.
 func (c *conn) usable() bool {
 	if c.netConn == nil {
