quota: a remembered refusal ends after 1 s, or with a change of the limit

Cause: an instance remembered a refusal for the time until the next token, up to an hour for a limit without a rate, so that it would go on to refuse after the operators had raised the limit. Found on review, not seen. The refusal states the time of the next token as before.

TestRefusalEndsWithChangedLimit covers both.

--- a/internal/direct/questions.go
+++ b/internal/direct/questions.go
@@ -43,7 +43,7 @@
 func (l *limiter[K]) reserveByQuestion(ctx context.Context, r *Router, now time.Time, c claim[K]) quota.Decision {
 	r.mu.Lock()
 	l.divided.CountedByHome(now, c.key, c.limit)
-	l.questions.asker.Arrive(now, c.key)
+	l.questions.asker.Arrive(now, c.key, c.limit)
 	if !l.questions.asking[c.key] {
 		if d, known := l.questions.asker.Decide(now, c.key); known {
 			r.mu.Unlock()
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -25,6 +25,8 @@
 	tokens float64
 	since  time.Time // up to which tokens have accrued
 	until  time.Time
+	next   time.Time   // when the home expects a token
+	limit  fleet.Limit // at the last request
 
 	exhaustedAt time.Time // until when a home had no token
 	exhaustedBy Run
@@ -75,9 +77,13 @@
 	return s
 }
 
-// Arrive counts a request in the demand for its key.
-func (a *Asker[K]) Arrive(now time.Time, key K) {
+// Arrive counts a request in the demand for its key. An answer for another limit does not
+// count any more.
+func (a *Asker[K]) Arrive(now time.Time, key K, limit fleet.Limit) {
 	s := a.asked(now, key)
+	if s.limit != limit {
+		s.limit, s.until = limit, time.Time{}
+	}
 	s.decayDemand(now)
 	s.demand += math.Ln2 / demandHalfLife.Seconds()
 }
@@ -102,7 +108,7 @@
 		a.record(now, s, s.home, 1)
 		return Decision{Admitted: true}, true
 	}
-	wait := s.until.Sub(now)
+	wait := latest(s.until, s.next).Sub(now)
 	if s.rate > 0 {
 		wait = time.Duration(min((1-s.tokens)/float64(s.rate), maxStatedWait.Seconds()) * float64(time.Second))
 	}
@@ -120,6 +126,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Question returns the question to a home about the given number of requests.
 func (a *Asker[K]) Question(now time.Time, key K, home fleet.InstanceID, wanted int) Question {
 	s := a.asked(now, key)
@@ -161,7 +174,8 @@
 	}
 	s.tokens = min(s.tokens, maxCarriedTokens)
 	s.home, s.rate, s.since = run, g.Rate, sentAt
-	s.until, s.exhaustedAt, s.exhaustedBy = now.Add(max(g.Wait, minRefusalTime)), sentAt, run
+	s.next = now.Add(g.Wait)
+	s.until, s.exhaustedAt, s.exhaustedBy = now.Add(min(max(g.Wait, minRefusalTime), maxLeaseTime)), sentAt, run
 	if g.Lease > 0 {
 		s.until = sentAt.Add(min(g.Lease, maxLeaseTime))
 		s.exhaustedAt = s.until // until then, leases use what accrues
--- a/internal/quota/asker_test.go
+++ b/internal/quota/asker_test.go
@@ -94,7 +94,7 @@
 	next = func() {
 		i := f.rng.IntN(len(f.nodes))
 		if n := f.nodes[i]; !n.down {
-			n.asker.Arrive(f.now, "a")
+			n.asker.Arrive(f.now, "a", f.limit)
 			n.waiting++
 			f.decide(n, i)
 		}
@@ -345,3 +345,32 @@
 		}
 	}
 }
+
+// Guards against an instance that refuses for as long as a small limit has no token, although
+// the operators have raised it, and against a refusal that states an earlier time.
+func TestRefusalEndsWithChangedLimit(t *testing.T) {
+	a, home := NewAsker[string](Run{Instance: "i"}, cfg.Window), NewHome[string](cfg)
+	small := fleet.Limit{Rate: 0.01, Burst: 1}
+	ask := func(now time.Time, limit fleet.Limit) Grant {
+		a.Arrive(now, "a", limit)
+		q := a.Question(now, "a", "h", 1)
+		g := home.Ask(now, "a", limit, q, "1", LeaseTime(10))
+		a.Answered(now, now, "a", "h", q, g)
+		return g
+	}
+	ask(start, small)
+	if g := ask(start, small); g.Admitted > 0 {
+		t.Fatalf("second request of a limit of 0.01/s: %+v", g)
+	}
+	a.Arrive(start, "a", small)
+	if d, known := a.Decide(start, "a"); !known || d.Admitted || d.Wait < time.Minute {
+		t.Errorf("third request: %+v, known %v; want a refusal for more than a minute", d, known)
+	}
+	if _, known := a.Decide(start.Add(2*time.Second), "a"); known {
+		t.Error("a refusal is remembered for more than 2 s, in which the limit may change at the home")
+	}
+	a.Arrive(start, "a", fleet.Limit{Rate: 10, Burst: 10})
+	if _, known := a.Decide(start, "a"); known {
+		t.Error("the refusal counts although the limit has changed")
+	}
+}
