quota: test a limit that is divided, counted by a home, and divided again

The fleet may grow and shrink past the size from which a home counts a limit, and instances learn of it at different times.

--- a/internal/quota/asker_test.go
+++ b/internal/quota/asker_test.go
@@ -26,6 +26,7 @@
 	events   eventQueue
 	nodes    []*homeNode
 	homes    func(asker int) []int        // in the view of an instance
+	divided  func(asker int) bool         // whether an instance divides the limit; nil if none does
 	latency  func(home int) time.Duration // of a question or an answer
 	service  time.Duration                // time of a home for a question
 	tally    simulation
@@ -37,6 +38,7 @@
 	asker    *Asker[fleet.AccountID]
 	home     *Home[fleet.AccountID]
 	fallback *Table[fleet.AccountID]
+	divided  *Table[fleet.AccountID]
 	waiting  int  // requests for the next question
 	asking   bool // a question is on its way
 	failedAt map[int]time.Time
@@ -79,7 +81,7 @@
 	run := Run{Instance: f.nodes[i].run.Instance, Boot: f.nodes[i].run.Boot + "1"}
 	f.nodes[i] = &homeNode{
 		run: run, asker: NewAsker[fleet.AccountID](run, cfg.Window), home: NewHome[fleet.AccountID](cfg),
-		fallback: New[fleet.AccountID](f.now, cfg), failedAt: make(map[int]time.Time),
+		fallback: New[fleet.AccountID](f.now, cfg), divided: New[fleet.AccountID](f.now, cfg), failedAt: make(map[int]time.Time),
 	}
 }
 
@@ -93,7 +95,14 @@
 	var next func()
 	next = func() {
 		i := f.rng.IntN(len(f.nodes))
-		if n := f.nodes[i]; !n.down {
+		if n := f.nodes[i]; !n.down && f.divided != nil && f.divided(i) {
+			ok, _ := n.divided.Admit(f.now, "a", f.limit, len(f.nodes))
+			f.count(ok)
+			if ok {
+				n.asker.Admitted(f.now, "a", 1)
+			}
+		} else if !n.down {
+			n.divided.CountedByHome(f.now, "a", f.limit)
 			n.asker.Arrive(f.now, "a", f.limit)
 			n.waiting++
 			f.decide(n, i)
@@ -266,6 +275,12 @@
 				return []int{10 + epoch, 11 + epoch}
 			}
 		}, 0.7},
+		"divided, then counted by a home, and back": {func(f *homeFleet) {
+			at := f.now
+			f.divided = func(asker int) bool {
+				return f.now.Add(-time.Duration(asker)*1400*time.Millisecond/instances).Sub(at)/(3*time.Second)%2 == 1
+			}
+		}, 0.7},
 		"killed with most others": {func(f *homeFleet) {
 			f.after(2*time.Second, func() {
 				for i := range instances * 6 / 10 {
