--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -39,7 +39,8 @@
 	lastRefill time.Time
 	createdAt  time.Time
 	askers     map[Run]*asker
-	used       usage // by all instances, as far as this one knows
+	list       []*asker // the same, for fast iteration
+	used       usage    // by all instances, as far as this one knows
 	// inherited is the rate of leases of another home, in requests per second, that may be
 	// in force until inheritedUntil.
 	inherited      float64
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -37,6 +37,7 @@
 
 // asker is what a home knows of an instance that asks it for tokens of a key.
 type asker struct {
+	run      Run
 	demand   fleet.PerSecond
 	askedAt  time.Time
 	lease    fleet.PerSecond // rate that it admits without asking
@@ -115,8 +116,8 @@
 func (h *Home[K]) noteUses(now time.Time, b *homeBucket, limit fleet.Limit, q Question, self fleet.BootID, leaseTime time.Duration) {
 	a := b.askers[q.Asker]
 	if a == nil {
-		a = &asker{}
-		b.askers[q.Asker] = a
+		a = &asker{run: q.Asker}
+		b.askers[q.Asker], b.list = a, append(b.list, a)
 	}
 	for _, u := range q.Uses {
 		if u.Seq <= a.lastUse { // an asker states uses again if it got no answer
@@ -145,37 +146,41 @@
 // of the home before this one, of which it knows only that they may be in force. Their
 // requests are counted when askers tell of them.
 func (b *homeBucket) takeInherited(now time.Time) float64 {
-	end := now
-	if b.inheritedUntil.Before(end) {
-		end = b.inheritedUntil
+	return b.inherited * max(0, earliest(now, b.inheritedUntil).Sub(b.lastRefill).Seconds())
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return b.inherited * max(0, end.Sub(b.lastRefill).Seconds())
+	return b
 }
 
 // takeLeased returns the number of tokens that have accrued under leases since lastRefill,
 // and ends the leases whose time has passed. It forgets the askers whose uses are all older
 // than window.
 func (b *homeBucket) takeLeased(now time.Time, window time.Duration) (sum float64) {
-	for id, a := range b.askers {
-		end := now
-		if a.leaseEnd.Before(end) {
-			end = a.leaseEnd
-		}
-		if dt := end.Sub(b.lastRefill); dt > 0 {
-			sum += float64(a.lease) * dt.Seconds()
+	kept := b.list[:0]
+	for _, a := range b.list {
+		if a.lease > 0 {
+			sum += float64(a.lease) * max(0, earliest(now, a.leaseEnd).Sub(b.lastRefill).Seconds())
 		}
 		if !now.Before(a.leaseEnd) {
 			a.lease = 0
 		}
 		if now.Sub(a.askedAt) > window+askerTimeout+maxLeaseTime {
-			delete(b.askers, id)
+			delete(b.askers, a.run)
+			continue
 		}
+		kept = append(kept, a)
 	}
+	clear(b.list[len(kept):])
+	b.list = kept
 	return sum
 }
 
 func (b *homeBucket) leased() (sum fleet.PerSecond) {
-	for _, a := range b.askers {
+	for _, a := range b.list {
 		sum += a.lease
 	}
 	return sum
@@ -183,7 +188,7 @@
 
 // demand returns the demand of all askers in requests per second.
 func (b *homeBucket) demand(now time.Time) (sum fleet.PerSecond) {
-	for _, a := range b.askers {
+	for _, a := range b.list {
 		if now.Sub(a.askedAt) <= askerTimeout {
 			sum += a.demand
 		}
