direct, balance: unsafe requests start where they can end in time; hopeless ones are refused

Most unsafe requests that failed on the measured deployments ended with 504 after the operator's timeout of 2.5 s, at an upstream that had become slow (431 of 7,217, and 1,574 of 24,581). A request that may run at most once now starts at an upstream that is not stalled and expected to answer within the time left, if there is one, and three in four of them first try an upstream that has answered well within the last 2 s. If all upstreams of an unsharded service have queues and none is expected to answer in time, the request is refused with no-time, nothing is sent, and Retry-After names the end of the shortest queue.

--- a/internal/direct/docs_test.go
+++ b/internal/direct/docs_test.go
@@ -83,7 +83,7 @@
 		}
 	}
 	compare("reason",
-		firstGroups(code, `refuse\([^"\n]*"([a-z-]+)"`, `return nil, "([a-z-]+)"`, `reason = "([a-z-]+)"`, `0\.0, "([a-z-]+)"`, `changed, "([a-z-]+)"`),
+		firstGroups(code, `refuse\([^"\n]*"([a-z-]+)"`, `return nil, "([a-z-]+)"`, `reason = "([a-z-]+)"`, `reason[A-Z]\w* = "([a-z-]+)"`, `0\.0, "([a-z-]+)"`, `changed, "([a-z-]+)"`),
 		firstGroups(section("Reasons of answers"), "`([a-z-]+)`[^|\n]*\\| [0-9]{3} \\|", "\n\\| `([a-z-]+)`", ", `([a-z-]+)`"))
 	compare("log message",
 		firstGroups(code, `log\.(?:Info|Warn|Error)\("([^"]+)"`),
--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -18,7 +18,7 @@
 func (r *Router) chooseUpstream(ctx context.Context, now time.Time, x *exchange, tried map[fleet.UpstreamID]bool) (*balance.Entry, string) {
 	for {
 		r.mu.Lock()
-		upstream, reason := r.upstreams.Choose(now, r.query(x, tried))
+		upstream, reason := r.choose(now, r.query(x, tried), x)
 		var id fleet.UpstreamID
 		if upstream != nil {
 			id = upstream.ID
@@ -180,6 +180,9 @@
 func (f *fanOut) launchFirst(ctx context.Context) (outcome, bool) {
 	for {
 		reason, ok := f.launch(ctx)
+		if !ok && reason == reasonNoTime {
+			return f.r.refuseNoTime(time.Now(), f.x), false
+		}
 		if ok || f.launchReserved(ctx) {
 			return outcome{}, true
 		}
