--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -44,6 +44,17 @@
 	return sum
 }
 
+// Of returns the value of a priority.
+func (b ByPriority) Of(p routes.Priority) float64 { return b[index(p)] }
+
+// Times returns the values multiplied by factor.
+func (b ByPriority) Times(factor float64) ByPriority {
+	for p := range b {
+		b[p] *= factor
+	}
+	return b
+}
+
 // Priorities returns the number of priorities that have more than minPart of the sum.
 func (b ByPriority) Priorities() int {
 	n, sum := 0, b.Sum()
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"time"
-
-	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
 // Shares are the admitted shares by priority of the targets that are short of capacity.
@@ -16,14 +14,18 @@
 // forgetTime is how long a target without counts is remembered.
 const forgetTime = 10 * time.Second
 
+// settleTime is the time after which the demand counts as known: instances find a new leader
+// within it. A limit that follows from the reports of some of them would be far too low.
+const settleTime = 2 * time.Second
+
 // Controller computes the admitted shares from counts, at the leader those of all
 // instances.
 type Controller struct {
-	levels     map[Target]*level
-	single     bool   // has the counts of a single instance
-	seeds      Shares // in force before the first counts
-	seedsUntil time.Time
-	stepDue    time.Time
+	levels   map[Target]*level
+	single   bool   // has the counts of a single instance
+	seeds    Shares // in force before the demand is known
+	seededAt time.Time
+	stepDue  time.Time
 }
 
 // NewController returns the Controller of a leader. inForce are the shares with which it
@@ -36,7 +38,7 @@
 
 // Continue makes c start from shares that are in force.
 func (c *Controller) Continue(now time.Time, inForce Shares) {
-	c.seeds, c.seedsUntil = maps.Clone(inForce), now.Add(forgetTime)
+	c.seeds, c.seededAt = maps.Clone(inForce), now
 }
 
 // Add adds counts of a target. sharded states that its service is sharded.
@@ -75,7 +77,7 @@
 		return nil
 	}
 	c.stepDue = now.Add(StepInterval)
-	if now.After(c.seedsUntil) {
+	if now.Sub(c.seededAt) > forgetTime {
 		clear(c.seeds)
 	}
 	var changes []Change
@@ -99,11 +101,11 @@
 	return changes
 }
 
-// seed continues a limit that was in force before the first counts: the shares with the
-// rates that are now known are a rate again.
+// seed continues a limit once the demand is known: the shares that were in force are a rate
+// again.
 func (c *Controller) seed(now time.Time, t Target, l *level) {
 	shares, inForce := c.seeds[t]
-	if !inForce {
+	if !inForce || now.Sub(c.seededAt) < settleTime {
 		return
 	}
 	l.meter.advance(now)
@@ -124,8 +126,8 @@
 	return l.short || e.Rejected > 0 || e.Queued > 0
 }
 
-// Shares returns the shares of the targets that are short of capacity. Shares that were in
-// force before the first counts of their targets hold until then.
+// Shares returns the shares of the targets that are short of capacity. Those that were in
+// force before the demand is known hold until then.
 func (c *Controller) Shares() Shares {
 	out := maps.Clone(c.seeds)
 	for t, l := range c.levels {
@@ -141,14 +143,3 @@
 	}
 	return out
 }
-
-// Limits returns the limit in requests/s of each service that is short of capacity.
-func (c *Controller) Limits() map[fleet.ServiceID]float64 {
-	out := make(map[fleet.ServiceID]float64)
-	for t, l := range c.levels {
-		if t.Holder == "" && l.short {
-			out[t.Service] = l.limit
-		}
-	}
-	return out
-}
--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -18,7 +18,14 @@
 	Evidence Evidence
 }
 
-func (c Counts) empty() bool { return c == Counts{} }
+// Times returns the counts multiplied by factor.
+func (c Counts) Times(factor float64) Counts {
+	c.Requests = c.Requests.Times(factor)
+	c.Evidence.Answered *= factor
+	c.Evidence.Queued *= factor
+	c.Evidence.Rejected *= factor
+	return c
+}
 
 // meter averages counts over about halfLife.
 type meter struct {
@@ -37,12 +44,7 @@
 	}
 	m.at = now
 	keep := math.Exp2(-elapsed.Seconds() / m.halfLife.Seconds())
-	for p := range m.counts.Requests {
-		m.counts.Requests[p] *= keep
-	}
-	m.counts.Evidence.Answered *= keep
-	m.counts.Evidence.Queued *= keep
-	m.counts.Evidence.Rejected *= keep
+	m.counts = m.counts.Times(keep)
 	m.seconds = m.seconds*keep + elapsed.Seconds()
 }
 
@@ -51,9 +53,7 @@
 	for p, n := range c.Requests {
 		m.counts.Requests[p] += n
 	}
-	m.counts.Evidence.Answered += c.Evidence.Answered
-	m.counts.Evidence.Queued += c.Evidence.Queued
-	m.counts.Evidence.Rejected += c.Evidence.Rejected
+	m.counts.Evidence.add(c.Evidence)
 }
 
 // perSecond returns the rates by priority, and that of answers.
@@ -181,6 +181,7 @@
 	if capacity == 0 {
 		lowest = minAdmitted * requested
 	}
+	l.limit = max(l.limit, float64(l.trust)*capacity)
 	switch {
 	case rates.Priorities() < 2:
 		l.short = false
--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -66,6 +66,9 @@
 // forwardToAny sends x to an upstream of an unsharded service. If an attempt fails and
 // x may be repeated, it tries another upstream.
 func (r *Router) forwardToAny(ctx context.Context, x *exchange) outcome {
+	if out, ok := r.admitByPriority(time.Now(), x); !ok {
+		return out
+	}
 	f := &fanOut{r: r, x: x, results: make(chan attempt, x.route.MaxAttempts+2), tried: make(map[fleet.UpstreamID]bool), streaming: -1}
 	defer f.cancelOthers()
 	if out, ok := f.launchFirst(ctx); !ok {
--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -17,6 +17,9 @@
 	if !x.info.HasRoutingKey {
 		return refuse(http.StatusBadRequest, "no-routing-key", 0)
 	}
+	if out, ok := r.admitByPriority(time.Now(), x); !ok {
+		return out
+	}
 	var reserved *balance.Entry // the holder whose limit has a slot for x
 	for {
 		changed := r.holderMapChanged()
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/admission"
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
@@ -104,7 +105,9 @@
 	recordedInstances []fleet.Peer // instances in the ownership record of the former leader
 	// recordedCount is the number of instances that this leader last recorded.
 	recordedCount int
-	stop          chan struct{} // closed by end
+	admission     *admission.Controller // nil before the first report; guarded by Router.mu
+	shares        admission.Shares      // that replies carry; guarded by Router.mu
+	stop          chan struct{}         // closed by end
 	stopOnce      sync.Once
 }
 
@@ -251,6 +254,7 @@
 		r.applyReport(now, l, r.collectReport(now))
 		r.updateMembers(now, l, leaseValid)
 		r.sumDemand(now, l)
+		r.stepAdmission(now, l)
 		r.setCandidates(now, l)
 		if leaseValid {
 			l.coordinator.Plan(now)
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -164,6 +164,7 @@
 		encodeRuns(&e, r.Leaving)
 	}
 	encodeRunLimits(&e, r.Limits)
+	encodeAdmissionReport(&e, r.Admission)
 	e.FieldStart("keys")
 	e.ObjStart()
 	for id, keys := range r.Keys {
@@ -219,6 +220,8 @@
 			r.LimitSeq, err = d.UInt64()
 		case "limits":
 			r.Limits, err = decodeRunLimits(d)
+		case "admission":
+			r.Admission, err = decodeAdmissionReport(d)
 		case "speeds":
 			r.ServiceTimes, err = decodeServiceTimes(d)
 		case "keys":
@@ -278,6 +281,7 @@
 	e.FieldStart("limit-seq")
 	e.UInt64(r.LimitSeq)
 	encodeRunLimits(&e, r.Limits)
+	encodeShares(&e, r.Admission)
 	if r.MapVersion.Seq > 0 {
 		e.FieldStart("map")
 		r.encodeMap(&e)
@@ -363,6 +367,8 @@
 			r.LimitSeq, err = d.UInt64()
 		case "limits":
 			r.Limits, err = decodeRunLimits(d)
+		case "admission":
+			r.Admission, err = decodeShares(d)
 		case "map":
 			err = r.decodeMap(d)
 		default:
--- a/internal/direct/message_test.go
+++ b/internal/direct/message_test.go
@@ -42,6 +42,8 @@
 		`{"term":1,"era":2,"held-ms":1,"demand":{"a":1.5},"map":{"seq":1,"holders":["u"],"whole":true,"services":{"s":[0,65535,0]}}}`,
 		`{"term":1,"map":{"seq":1,"holders":["u"],"services":{"s":[9,3,0]}}}`,
 		`{"instance":"i","addr":"x","store-age-ms":-1,"speeds":{"u":[-1,-2,-3,-4]},"keys":{"s":[0,65535]},"demand":{"a":-1}}`,
+		`{"instance":"i","admission":{"for-ms":700,"services":[{"service":"s","rates":[1,0,2.5],"answered":3,"rejected":1},{"service":"s","holder":"u","rates":[1]}]}}`,
+		`{"term":1,"admission":[{"service":"s","shares":[1000,120]},{"service":"s","holder":"u","shares":[1]}]}`,
 		`{"instance":"i","leaving":[["u","b","x"]],"limits":[["u","b","x",1,2]],"list":{"seq":1}}`,
 	} {
 		f.Add([]byte(s))
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -46,6 +46,7 @@
 	bodies               *prometheus.GaugeVec // by of: the kind of bodies
 	callerConns          prometheus.Gauge
 	requestsInProgress   prometheus.Gauge
+	admission            admissionMetrics
 }
 
 // durationBuckets are the upper bounds of the duration histogram, in seconds. They are
@@ -144,6 +145,7 @@
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.cutResponses, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
 	m.registry.MustRegister(m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
+	m.admission = newAdmissionMetrics(m.registry)
 	return m
 }
 
@@ -185,6 +187,7 @@
 		m.restrictions.Set(float64(len(op.Table.Problems)))
 	}
 	m.storeEra.Set(float64(r.era))
+	r.updateAdmissionGauges(now)
 	m.upstreams.Reset()
 	m.leavingByAnswer.Reset()
 	for service, n := range r.upstreams.LeavingByAnswer() {
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/admission"
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
@@ -88,6 +89,8 @@
 	// leave, and the limits. The leader answers a report with either at once.
 	Leaving []balance.Run
 	Limits  []balance.RunLimit
+	// Admission has the requests since the last report.
+	Admission admission.Report
 }
 
 // reply is the leader's answer to a report.
@@ -109,6 +112,7 @@
 	List       listDelta
 	Limits     []balance.RunLimit // of upstreams; those that have changed since the sender's version
 	LimitSeq   uint64             // version of the leader's limits
+	Admission  admission.Shares   // of services and holders that are short of capacity
 	// The leader's operator state, and the time since the leader knew it to be current.
 	OperatorTag string
 	OperatorSeq uint64 // version of the operator state, counted by this leader
@@ -130,6 +134,7 @@
 		rep.Demand, r.demandReportedAt = r.accounts.divided.Demand(now), now
 		r.reportedDemand = rep.Demand
 	}
+	r.addAdmission(now, &rep)
 	op := r.operatorState.Load()
 	rep.ServiceTimes = r.upstreams.TakeSamples(func(id fleet.ServiceID) bool {
 		return op != nil && op.Table != nil && op.Table.Services[id].Sharded
@@ -302,6 +307,7 @@
 	r.setInstances(rp.Members)
 	r.mu.Lock()
 	r.leader.heardAt = now
+	r.learnAdmission(now, repliedAt, rp.Admission)
 	r.accounts.divided.Learn(now, rp.Demand, r.reportedDemand, r.instanceCount())
 	changed := rp.List.Seq != rep.ListSeq || rp.Term != rep.ListTerm || !r.listDue.IsZero() && !now.Before(r.listDue)
 	var list []balance.Registration
@@ -470,6 +476,7 @@
 		rep.LimitSeq = 0
 	}
 	rp.Limits, rp.LimitSeq = r.limitsSince(now, rep.LimitSeq)
+	rp.Admission = r.sharesInForce(now, l)
 	return rp
 }
 
@@ -490,6 +497,7 @@
 		}
 	}
 	r.learnLeaving(now, l, rep)
+	r.observeAdmission(now, l, rep)
 	if rep.Instance != r.cfg.Instance {
 		r.mergeLimits(now, rep.Limits, "report of "+string(rep.Instance))
 	}
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/admission"
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
@@ -25,6 +26,11 @@
 		StoreAge:     1200 * time.Millisecond, InstancesHash: 10, ListTerm: 3, ListSeq: 7, OperatorSeq: 2, OperatorTag: "5 [z]",
 		Leaving: []balance.Run{{ID: "u", Boot: "1", Addr: "1.2.3.4:5"}}, LimitSeq: 3,
 		Limits: []balance.RunLimit{{Run: balance.Run{ID: "v", Boot: "2", Addr: "1.2.3.4:6"}, Rate: 2.5, Age: time.Second}},
+		Admission: admission.Report{
+			For:      time.Second,
+			Services: map[fleet.ServiceID]admission.Counts{"s": {Requests: admission.ByPriority{0: 2, 3: 1}, Evidence: admission.Evidence{Answered: 2, Queued: 1, Rejected: 1}}},
+			Holders:  map[admission.Target]admission.ByPriority{{Service: "s", Holder: "u"}: {0: 2, 3: 1}},
+		},
 	}
 	got, err := decodeReport(rep.encode())
 	if diff := cmp.Diff(rep, got); err != nil || diff != "" {
@@ -42,6 +48,7 @@
 			{Span: keyspace.Span{From: 0, To: 9}, Holder: "u"}, {Span: keyspace.Span{From: 10, To: 65535}},
 		}},
 		Members: []fleet.Peer{{ID: "i1", Addr: "1.2.3.4:6"}}, Demand: map[fleet.AccountID]float64{"a": 3},
+		Admission:   admission.Shares{{Service: "s"}: {1, 1, 0.5}, {Service: "s", Holder: "u"}: {0.5}},
 		OperatorTag: "5 [z]", OperatorSeq: 4, OperatorAge: 20 * time.Millisecond,
 		Source: []byte("{\"version\":\"5\"}\n"), Evacuated: []fleet.ZoneID{"z"}, OperatorRevision: 70,
 		List: listDelta{Seq: 8, Age: 30 * time.Millisecond, Removed: []fleet.UpstreamID{"v"}, Changed: []balance.Registration{
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/admission"
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
@@ -74,6 +75,7 @@
 	homeFailedAt     map[fleet.InstanceID]time.Time // last failure of homes to answer
 	retryBudgets     map[fleet.ServiceID]*balance.RetryBudget
 	splitter         *routes.Splitter
+	admission        *admissionState
 	instances        []fleet.Peer
 	evacuatedSince   map[fleet.ZoneID]time.Time // the earliest time at which the evacuation of a zone may have begun
 	holderMapUpdated chan struct{}              // closed when holderMap changes
@@ -139,6 +141,7 @@
 	}
 	r.stopping, r.cancelStopping = context.WithCancel(context.Background())
 	r.splitter = routes.NewSplitter(r.rng)
+	r.admission = &admissionState{gate: admission.NewGate(now, r.rng), retries: make(map[string]*admission.Retries)}
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
 	r.accounts.request, r.accounts.logFailure = r.requestToken, r.logAccountHomeFailure
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -31,6 +31,7 @@
 	accountByKey map[fleet.CallerKeyHash]fleet.AccountID
 
 	longestTargets map[fleet.ServiceID]time.Duration
+	priorities     []Priority
 }
 
 // Service is a group of upstreams.
@@ -106,6 +107,7 @@
 			t.longestTargets[p.Service] = max(t.longestTargets[p.Service], list[i].Target)
 		}
 	}
+	t.priorities = t.collectPriorities()
 	for _, hostRoutes := range t.routesByHost {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
