direct, balance: refused requests allow no retries

A request adds to the retry budget of its service when it arrives. One that is refused by priority or for lack of time reaches no upstream, so that its part is taken back; the budget would otherwise grow with the requests that a service does not get.

--- a/internal/balance/expect_test.go
+++ b/internal/balance/expect_test.go
@@ -85,3 +85,16 @@
 		}
 	})
 }
+
+// Guards against retries that are allowed by requests which were refused and never sent.
+func TestWithdrawnRequestsAllowNoRetries(t *testing.T) {
+	sent, refused := NewRetryBudget(0.2, 0, 10*time.Second), NewRetryBudget(0.2, 0, 10*time.Second)
+	for range 20 {
+		sent.Request(start, 10)
+		refused.Request(start, 10)
+		refused.Withdraw()
+	}
+	if diff := cmp.Diff([]bool{true, false}, []bool{sent.Take(start, 10), refused.Take(start, 10)}); diff != "" {
+		t.Errorf("retries after requests that were sent, and after refused ones (-want +got):\n%s", diff)
+	}
+}
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -56,6 +56,7 @@
 		r.mu.Unlock()
 		return outcome{}, true
 	}
+	r.retryBudget(x.service.ID).Withdraw()
 	retryAfter := r.retryAfterShort(x)
 	shares, fromLeader := s.gate.Shares(now)
 	begun := !fromLeader && !s.alone
--- a/internal/direct/intime.go
+++ b/internal/direct/intime.go
@@ -48,6 +48,7 @@
 // when the shortest queue has ended.
 func (r *Router) refuseNoTime(now time.Time, x *exchange) outcome {
 	r.mu.Lock()
+	r.retryBudget(x.service.ID).Withdraw()
 	best, _ := r.upstreams.Earliest(now, x.service.ID, nil)
 	r.mu.Unlock()
 	return r.refusePaused(now, reasonNoTime, now.Add(best.Wait))
