--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -18,7 +18,7 @@
 func (r *Router) chooseUpstream(ctx context.Context, now time.Time, x *exchange, tried map[fleet.UpstreamID]bool) (*balance.Entry, string) {
 	for {
 		r.mu.Lock()
-		upstream, reason := r.upstreams.Choose(now, r.query(x, tried))
+		upstream, reason := r.choose(now, r.query(x, tried), x)
 		var id fleet.UpstreamID
 		if upstream != nil {
 			id = upstream.ID
@@ -66,6 +66,9 @@
 // forwardToAny sends x to an upstream of an unsharded service. If an attempt fails and
 // x may be repeated, it tries another upstream.
 func (r *Router) forwardToAny(ctx context.Context, x *exchange) outcome {
+	if out, ok := r.admitByPriority(time.Now(), x); !ok {
+		return out
+	}
 	f := &fanOut{r: r, x: x, results: make(chan attempt, x.route.MaxAttempts+2), tried: make(map[fleet.UpstreamID]bool), streaming: -1}
 	defer f.cancelOthers()
 	if out, ok := f.launchFirst(ctx); !ok {
@@ -180,6 +183,9 @@
 func (f *fanOut) launchFirst(ctx context.Context) (outcome, bool) {
 	for {
 		reason, ok := f.launch(ctx)
+		if !ok && reason == reasonNoTime {
+			return f.r.refuseNoTime(time.Now(), f.x), false
+		}
 		if ok || f.launchReserved(ctx) {
 			return outcome{}, true
 		}
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -108,6 +108,7 @@
 	r.mu.Lock()
 	noAnswer := a.verdict == balance.Silent && !upstream.AnsweredSince(sentAt)
 	r.upstreams.Ended(now, upstream, a.verdict, now.Sub(sentAt), a.metadata.Load)
+	r.countAttempt(x, a)
 	x.attempts = append(x.attempts, formatAttempt(a, now.Sub(sentAt)))
 	r.mu.Unlock()
 	if noAnswer {
