keyspace: busy neighbouring keys are divided in one step; releases follow the record

Change: the release is due once the record is stored. The counters have three half-lives; a span follows the fast counts as far as random variation does not explain them, and a surge is extrapolated by its age. The keys of an overloaded holder go to as many of the least loaded upstreams as needed, at once. A key too hot for any upstream stays, and the others of its holder move away. Parts that have moved stay for 2 s. Grants, fences and the order of calls are unchanged.

--- /dev/null
+++ b/internal/direct/holders_test.go
@@ -0,0 +1,69 @@
+package direct
+
+import (
+	"testing"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+)
+
+func (c *modelCounts) add(o modelCounts) {
+	c.requests, c.onTime, c.late, c.refused, c.failed = c.requests+o.requests, c.onTime+o.onTime, c.late+o.late, c.refused+o.refused, c.failed+o.failed
+	c.fullRefusals, c.sent, c.refusals, c.waited = c.fullRefusals+o.fullRefusals, c.sent+o.sent, c.refusals+o.refusals, c.waited+o.waited
+	c.sentTo = append(c.sentTo, o.sentTo...)
+}
+
+// runModels returns the sums of the counts of several runs, by phase, and the largest number
+// of shards.
+func runModels(t *testing.T, seeds int, config func(uint64) modelConfig) (map[string]*modelCounts, int) {
+	t.Helper()
+	sums, shards := make(map[string]*modelCounts), 0
+	for seed := range uint64(seeds) {
+		m := newHoldersModel(config(seed))
+		m.run()
+		for i, p := range m.phases {
+			name := "steady"
+			if i < len(m.cfg.bursts) {
+				name = m.cfg.bursts[i].name
+			}
+			if sums[name] == nil {
+				sums[name] = &modelCounts{}
+			}
+			sums[name].add(*p)
+			t.Logf("seed %d, %s: %v; %d moves of %.2f of the keys", seed, name, *p, m.moves[i], float64(m.keysMoved[i])/keyspace.Keys)
+		}
+		shards = max(shards, m.maxShards)
+	}
+	for name, c := range sums {
+		t.Logf("all, %s: %v", name, *c)
+	}
+	return sums, shards
+}
+
+// modelBounds are the least share of requests answered on time in each phase.
+type modelBounds map[string]float64
+
+func (b modelBounds) check(t *testing.T, sums map[string]*modelCounts) {
+	t.Helper()
+	for phase, want := range b {
+		if got := float64(sums[phase].onTime) / float64(sums[phase].requests); got < want {
+			t.Errorf("%s: %.3f of the requests answered on time, want %.3f", phase, got, want)
+		}
+	}
+}
+
+// Guards against load on neighbouring keys that stays on one or a few holders of a large
+// service for seconds, and against parts that move all the time by random variation: 1,700
+// shards and more than all keys moved within 40 s.
+func TestHoldersOfLargeFleet(t *testing.T) {
+	sums, shards := runModels(t, 3, largeModel)
+	modelBounds{"steady": 0.93, "60-keys": 0.87, "200-keys": 0.85, "one-key": 0.82}.check(t, sums)
+	if shards > 1400 {
+		t.Errorf("%d shards, want at most 1400", shards)
+	}
+}
+
+// Guards against a placement for large services that serves small ones worse.
+func TestHoldersOfSmallFleet(t *testing.T) {
+	sums, _ := runModels(t, 8, smallModel)
+	modelBounds{"steady": 0.92, "60-keys": 0.83, "200-keys": 0.79, "one-key": 0.88}.check(t, sums)
+}
--- a/internal/keyspace/calls.go
+++ b/internal/keyspace/calls.go
@@ -215,6 +215,9 @@
 	case Done:
 		sh.failures = 0
 		sh.nextCall = now.Add(co.timing.Renew)
+		if sh.next != nil && sh.recorded { // a move waited for this call
+			sh.nextCall = now
+		}
 		sh.handover = ""
 		if sh.state == stateGranting {
 			sh.state, sh.everGranted = stateHeld, true
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -237,6 +237,8 @@
 	failures           int       // consecutive failed grants
 	refused            bool      // the holder has seen a higher fencing token than fence
 	everGranted        bool      // the holder has confirmed a grant
+	surging, rising    bool      // its load has risen suddenly, or may have
+	movedAt            time.Time // when the last move was planned
 	blockedUntil       time.Time // no grant before then, since an earlier holder may hold the keys; set if the leader changed during a move
 }
 
@@ -260,6 +262,7 @@
 	lastJoined time.Time          // when a new candidate was last listed
 	lastDecay  time.Time          // when keyLoad was last decayed
 	keyLoad    *LoadCounter
+	surgeSince time.Time // when some load began to rise suddenly; zero if none does
 
 	hold         time.Duration // validity that grants are to request
 	recordedHold time.Duration // longest validity that the stored record states
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -16,31 +16,9 @@
 	// keys only once the others have load.
 	registrationQuietTime = 1200 * time.Millisecond
 	maxRegistrationWait   = 4 * time.Second
-	// minConcurrentMoves is the number of shards of a service that may move at the same
-	// time to balance load. If it has many upstreams, one shard for each upstreamsPerMove
-	// of them may move. A move takes about 1 s: with 6 concurrent moves, 25 of 132
-	// upstreams stayed overloaded for 6 s.
-	minConcurrentMoves = 6
-	upstreamsPerMove   = 3
-	// minBusyUtilisation is the utilisation (a share of the capacity) below which an
-	// upstream keeps its keys: requests hardly queue there, and each move interrupts the
-	// keys that move.
-	minBusyUtilisation = 0.5
-	// minImbalance is the difference in utilisation between the most and the least
-	// utilised upstream below which no key moves.
-	minImbalance = 0.2
-	// surgeDeviations is the number of standard deviations by which the fast estimate of
-	// an upstream's load must exceed the slow one to count as a surge.
-	surgeDeviations = 2.5
 	// speedExponent determines how much speed counts: at an idle service, the capacity of
 	// an upstream is multiplied by its relative speed to the power of speedExponent.
 	speedExponent = 1.3
-	// hotKeyShare is the share of an upstream's capacity from which on the load of a
-	// single key is placed separately.
-	hotKeyShare = 0.25
-	// minImbalanceToEmpty replaces minBusyUtilisation and minImbalance if the least
-	// utilised upstream has no keys.
-	minImbalanceToEmpty = 0.05
 	// coldCapacityShare is the share of its capacity that a cold upstream is planned with.
 	coldCapacityShare = 0.05
 )
@@ -76,7 +54,7 @@
 			s.keyLoad.Decay(now.Sub(s.lastDecay))
 		}
 		s.lastDecay = now
-		s.keyLoad.SetSurging(s.hasSurge())
+		s.estimateLoad(now)
 		if len(s.shards) == 0 {
 			co.assignInitial(now, s)
 			continue
@@ -179,23 +157,25 @@
 	return sh.holder
 }
 
-// hasSurge reports whether the load of an upstream has risen so suddenly that the slow
-// estimate does not show it yet, by more than random variation explains.
-func (s *service) hasSurge() bool {
-	slow, fast := make(map[fleet.UpstreamID]float64), make(map[fleet.UpstreamID]float64)
-	for _, sh := range s.shards {
-		slowRate, fastRate := s.keyLoad.Rates(sh.Span)
-		slow[sh.plannedHolder()] += slowRate
-		fast[sh.plannedHolder()] += fastRate
+// estimateLoad updates the estimates of the load of all keys.
+func (s *service) estimateLoad(now time.Time) {
+	spans := make([]Span, len(s.shards))
+	for i, sh := range s.shards {
+		spans[i] = sh.Span
 	}
-	for id, rate := range fast {
-		u, known := s.upstreams[id]
-		deviation := math.Sqrt(max(slow[id], 1) * s.keyLoad.fast.ratePerCount() / 2)
-		if known && rate > minBusyUtilisation*u.Capacity && rate > slow[id]+surgeDeviations*deviation {
-			return true
-		}
+	surging := false
+	loads := s.keyLoad.estimate(spans)
+	for i, sh := range s.shards {
+		l := loads[i]
+		sh.surging, s.shards[i].rising = l.surging, l.rising
+		surging = surging || l.surging
+	}
+	switch {
+	case !surging:
+		s.surgeSince = time.Time{}
+	case s.surgeSince.IsZero():
+		s.surgeSince = now
 	}
-	return false
 }
 
 // needsHolder reports whether sh must be assigned to another holder, or again to the
@@ -273,8 +253,10 @@
 func (co *Coordinator) planMove(now time.Time, s *service, sh *shard, u Upstream, cause string) {
 	co.moves = append(co.moves, Move{Service: s.id, Span: sh.Span, From: sh.plannedHolder(), To: u.ID, Cause: cause, Rate: s.keyLoad.Rate(sh.Span)})
 	co.recordDirty = true
-	sh.recorded = false
-	sh.nextCall = now
+	sh.recorded, sh.movedAt = false, now
+	if sh.state != stateHeld { // else the next call is due once the record is stored
+		sh.nextCall = now
+	}
 	if sh.state == stateGranting && !sh.everGranted && sh.latestHoldEnd.IsZero() && !sh.callPending {
 		// No grant was sent, so that no release is needed.
 		sh.holder, sh.boot, sh.fence, sh.next, sh.failures, sh.refused = u.ID, u.Boot, co.allocateFence(), nil, 0, false
@@ -316,113 +298,19 @@
 	return &tail
 }
 
-// rebalance moves load from the most to the least utilised upstreams.
-func (co *Coordinator) rebalance(now time.Time, s *service, load map[fleet.UpstreamID]float64) {
-	moving := 0
-	for _, sh := range s.shards {
-		if sh.next != nil || sh.state != stateHeld {
-			moving++
-		}
-	}
-	candidates := co.usable(now, s)
-	maxMoving := max(minConcurrentMoves, len(candidates)/upstreamsPerMove)
-	for ; moving < maxMoving && len(candidates) > 1; moving++ {
-		slices.SortStableFunc(candidates, func(a, b Upstream) int {
-			return compareFloats(load[a.ID]/a.plannedCapacity(), load[b.ID]/b.plannedCapacity())
-		})
-		leastBusy := candidates[0]
-		moved := false
-		for i := len(candidates) - 1; i > 0 && !moved; i-- {
-			source := candidates[i]
-			utilisation, minDifference := load[source.ID]/source.plannedCapacity(), minImbalance
-			if _, holds := load[leastBusy.ID]; !holds {
-				minDifference = minImbalanceToEmpty
-			} else if utilisation < minBusyUtilisation {
-				break
-			}
-			if utilisation-load[leastBusy.ID]/leastBusy.plannedCapacity() < minDifference {
-				break
-			}
-			moved = co.moveLoad(now, s, source, leastBusy, load) || co.moveHotKey(now, s, source, candidates, load)
-		}
-		if !moved {
-			return
-		}
-	}
-}
-
-// moveLoad moves a part of one shard between two upstreams, chosen so that both end up
-// with about the same utilisation. It reports whether it found a suitable part.
-func (co *Coordinator) moveLoad(now time.Time, s *service, from, to Upstream, load map[fleet.UpstreamID]float64) bool {
-	wantedRate := (load[from.ID]/from.plannedCapacity() - load[to.ID]/to.plannedCapacity()) / (1/from.plannedCapacity() + 1/to.plannedCapacity())
-	best, bestRate := -1, 0.0
-	var bestSpan Span
-	for i, sh := range s.shards {
-		if sh.holder != from.ID || sh.next != nil || sh.state != stateHeld || sh.callPending || !sh.recorded {
-			continue
-		}
-		for _, takeEnd := range []func(Span, float64) (Span, float64, bool){s.keyLoad.Prefix, s.keyLoad.Suffix} {
-			span, rate, ok := takeEnd(sh.Span, wantedRate*1.1)
-			if ok && (rate > bestRate*1.1 || rate > bestRate*0.9 && keyCount(span) < keyCount(bestSpan)) {
-				best, bestRate, bestSpan = i, rate, span
-			}
-		}
-	}
-	if best < 0 || bestRate < wantedRate/8 {
-		return false
-	}
-	sh := s.splitOut(best, bestSpan)
-	load[from.ID] -= bestRate
-	load[to.ID] += bestRate
-	co.planMove(now, s, sh, to, "load")
-	return true
-}
-
 // splitOut splits the shard with index i so that span becomes a shard of its own, and
-// returns that shard.
-func (s *service) splitOut(i int, span Span) *shard {
+// returns that shard and the remaining parts.
+func (s *service) splitOut(i int, span Span) (*shard, []*shard) {
 	sh := s.shards[i]
+	var rest []*shard
 	if span.To < sh.To {
-		s.split(i, span.To)
+		rest = append(rest, s.split(i, span.To))
 	}
 	if span.From > sh.From {
+		rest = append(rest, sh)
 		sh = s.split(i, span.From-1)
 	}
-	return sh
-}
-
-// moveHotKey moves the busiest key of an upstream to the candidate whose utilisation is
-// then lowest, if the load of that key alone is too high for moveLoad. Later calls of
-// rebalance move other keys away from the new holder. It reports whether the key moves.
-func (co *Coordinator) moveHotKey(now time.Time, s *service, from Upstream, candidates []Upstream, load map[fleet.UpstreamID]float64) bool {
-	index, key, rate := -1, Key(0), 0.0
-	for i, sh := range s.shards {
-		if sh.holder != from.ID || sh.next != nil || sh.state != stateHeld || sh.callPending || !sh.recorded {
-			continue
-		}
-		for k := int(sh.From); k <= int(sh.To); k++ {
-			if r := s.keyLoad.keyRate(k); r > rate {
-				index, key, rate = i, Key(k), r
-			}
-		}
-	}
-	if index < 0 || rate < hotKeyShare*from.plannedCapacity() {
-		return false
-	}
-	best, bestUtilisation := from, load[from.ID]/from.plannedCapacity()-minImbalance
-	for _, u := range candidates {
-		// About half of the candidate's other load can move away later.
-		if utilisation := (load[u.ID]/2 + rate) / u.plannedCapacity(); u.ID != from.ID && utilisation < bestUtilisation {
-			best, bestUtilisation = u, utilisation
-		}
-	}
-	if best.ID == from.ID {
-		return false
-	}
-	load[from.ID] -= rate
-	load[best.ID] += rate
-	co.planMove(now, s, s.splitOut(index, Span{key, key}), best, "hot-key")
-	return true
+	return sh, rest
 }
 
 func keyCount(s Span) int { return int(s.To) - int(s.From) + 1 }
--- a/internal/keyspace/plan_test.go
+++ b/internal/keyspace/plan_test.go
@@ -65,3 +65,57 @@
 		t.Errorf("%d upstreams hold keys, want %d", len(holders), upstreams)
 	}
 }
+
+// Guards against a release that waits for the next renewal: a renewal was sent between the
+// plan of a move and its record, and its answer postponed the release by Timing.Renew.
+func TestReleaseFollowsRecord(t *testing.T) {
+	now := start
+	o, fakes := NewCoordinator(now, 1, timing, Record{}), newFakeUpstreams(t)
+	o.SetUpstreams(now, archive, usableUpstreams("a", "b"))
+	run(o, fakes, &now, 10*time.Second)
+	o.SetUpstreams(now, archive, []Upstream{{ID: "a", Boot: "1", Capacity: 20}, {ID: "b", Boot: "1", Usable: true, Capacity: 20}})
+	o.Plan(now)
+	_, stored, changed := o.Save(now)
+	if !changed {
+		t.Fatal("no move was planned")
+	}
+	for _, c := range o.Calls(now) { // renewals that are due while the record is written
+		if c.Release {
+			t.Fatalf("%v is released before the record is stored", c.Span)
+		}
+		o.CallEnded(now, c, Done, "")
+	}
+	stored()
+	now = now.Add(time.Millisecond)
+	released := 0
+	for _, c := range o.Calls(now) {
+		if c.Release && c.Upstream == "a" {
+			released++
+		}
+	}
+	if released == 0 {
+		t.Error("no release after the record of the move was stored")
+	}
+}
+
+// Guards against the extrapolation of a surge that is too low, by which its keys would move
+// a second time, or that stays too high.
+func TestSurgeIsExtrapolated(t *testing.T) {
+	const rate = 400 // requests per second for 60 keys
+	lc := NewLoadCounter()
+	spans := []Span{{0, 9999}, {10_000, maxKey}}
+	for step := range 300 {
+		lc.Decay(10 * time.Millisecond)
+		for i := range rate / 100 {
+			lc.Add(Key(500 + (step*rate/100+i)%60))
+		}
+		most := 2.4
+		if step > 200 {
+			most = 1.4
+		}
+		loads := lc.estimate(spans)
+		if got := lc.Rate(spans[0]); step > 10 && (step < 100 && !loads[0].surging || got < rate*0.8 || got > rate*most) {
+			t.Fatalf("%d ms after the start: estimated %.0f requests/s, surging %t, want %d", step*10, got, loads[0].surging, rate)
+		}
+	}
+}
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -91,9 +91,13 @@
 			co.services[id].recordedHold = hold
 		}
 		for _, v := range savedShards {
-			if v.p.next == v.next && v.p.fence == v.fence {
-				v.p.recorded = true
+			if v.p.next != v.next || v.p.fence != v.fence {
+				continue
 			}
+			if v.next != nil && !v.p.recorded {
+				v.p.nextCall = now
+			}
+			v.p.recorded = true
 		}
 	}
 	return rec, markRecorded, true
