balance: learn capacities by requests in flight; compare a bounded number of upstreams

Cause: capacity was the slots divided by the mean service time, whatever an upstream does under load.

Change: a load curve for each upstream fits the service time to the requests in flight, from which its limit in flight and its rate follow. Choose compares the 16 upstreams that answered last and samples drawn by capacity, assumes the mean load of the service where it knows none, and counts requests beyond the limit in flight as waiting.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -65,18 +65,6 @@
 	// slowdownHalfLife is the half-life of a reported slowdown, which ends sooner than a
 	// queue.
 	slowdownHalfLife = 200 * time.Millisecond
-	// costJitter is the range of the random factor on each cost, so that instances with
-	// the same knowledge do not all choose the same upstream.
-	costJitter = 0.2
-	// otherZoneCost is the additional cost of an upstream in another zone, as a share of
-	// the route's target latency.
-	otherZoneCost = 0.08
-	// failureCost is the additional cost of a failure rate of 1, as a multiple of the
-	// route's target latency.
-	failureCost = 4.0
-	// stalledTimeFactor is the multiple of the service time after which an upstream with
-	// requests in flight and no answer counts as stalled.
-	stalledTimeFactor = 4
 	// minEjectionTime and maxEjectionTime are the shortest and the longest time for which
 	// an unreachable upstream is sent no requests. The time doubles with each failure.
 	minEjectionTime = 500 * time.Millisecond
@@ -117,6 +105,10 @@
 	lastAnswer           time.Time
 	consecutiveEjections int
 	ejectedUntil         time.Time
+	curve                LoadCurve
+	ownLimit             float64 // requests in flight by curve; 0 if unknown
+	toldLimit            float64 // requests in flight that the leader has told; 0 if none
+	toldLimitAt          time.Time
 	samples              Samples         // since the last call of TakeSamples
 	throughput           throughputCount // answers to all instances; used by the leader
 }
@@ -126,6 +118,9 @@
 	entries    map[fleet.UpstreamID]*Entry
 	byService  map[fleet.ServiceID][]*Entry
 	meanTimes  map[fleet.ServiceID]float64 // mean service time in seconds over all upstreams of a service; 0 if unknown
+	meanLoad   map[fleet.ServiceID]float64 // mean reported requests in flight for each slot
+	weights    map[fleet.ServiceID]*weights
+	recent     map[fleet.ServiceID][]*Entry // those that answered last, at most recentSize
 	departed   map[fleet.UpstreamID]departure
 	evacuated  map[fleet.ZoneID]bool
 	listedAt   time.Time // when the list was known to be current; zero before the first one
@@ -142,6 +137,8 @@
 		entries: make(map[fleet.UpstreamID]*Entry), byService: make(map[fleet.ServiceID][]*Entry),
 		departed:  make(map[fleet.UpstreamID]departure),
 		meanTimes: make(map[fleet.ServiceID]float64), evacuated: make(map[fleet.ZoneID]bool),
+		recent:   make(map[fleet.ServiceID][]*Entry),
+		meanLoad: make(map[fleet.ServiceID]float64), weights: make(map[fleet.ServiceID]*weights),
 		rng: rng, self: self, coldLimits: coldLimits,
 	}
 }
@@ -186,6 +183,8 @@
 	}
 	maps.DeleteFunc(t.departed, func(_ fleet.UpstreamID, d departure) bool { return now.Sub(d.at) > departureMemory })
 	t.entries, t.byService = entries, byService
+	clear(t.weights)
+	t.pruneRecent()
 	return changes
 }
 
@@ -310,86 +309,13 @@
 	return rank
 }
 
-// Query contains the criteria by which Choose selects an upstream.
-type Query struct {
-	Service fleet.ServiceID
-	Zone    fleet.ZoneID  // of this instance
-	Target  time.Duration // target latency of the route
-	Exclude map[fleet.UpstreamID]bool
-}
-
-// Choose returns the upstream with the lowest estimated cost, or nil if there is no
-// candidate. The second result is then the reason why the last candidate was excluded.
-func (t *Table) Choose(now time.Time, q Query) (*Entry, string) {
-	var best *Entry
-	bestCost, reason := 0.0, "no-upstream"
-	for _, e := range t.byService[q.Service] {
-		if !t.Usable(e) || q.Exclude[e.ID] {
-			continue
-		}
-		if now.Before(e.ejectedUntil) {
-			reason = "upstreams-unreachable"
-			continue
-		}
-		if now.Before(e.pausedUntil) {
-			reason = "upstreams-paused"
-			continue
-		}
-		if now.Before(e.limit.takesAgainAt) {
-			reason = "upstreams-limited"
-			continue
-		}
-		cost := t.cost(now, e, q)
-		if best != nil && cost >= bestCost {
-			continue
-		}
-		if e.Cold(now) && !t.AdmitCold(now, e) {
-			reason = "upstreams-cold"
-			continue
-		}
-		best, bestCost = e, cost
-	}
-	return best, reason
-}
-
-// cost returns the estimated response time of e in seconds, plus additional costs for
-// failures, stalled upstreams and other zones.
-func (t *Table) cost(now time.Time, e *Entry, q Query) float64 {
-	if !chooseByCost {
-		return t.rng.Float64()
-	}
-	target := q.Target.Seconds()
-	serviceTime := t.ServiceTime(now, e)
-	if e.load.Slowdown > 1 {
-		serviceTime *= 1 + (e.load.Slowdown-1)*decay(now.Sub(e.loadReported), slowdownHalfLife)
-	}
-	ahead := float64(e.InFlight) + e.othersInFlight*decay(now.Sub(e.loadReported), t.loadHalfLife(e.Service))
-	slots := float64(max(e.Slots, 1))
-	wait := serviceTime * max(0, ahead+1-slots) / slots
-	// The service time rises a little with the number of used slots. The term also spreads
-	// requests over upstreams with free slots.
-	seconds := serviceTime*(1+0.3*min(1, ahead/slots)) + wait
-	seconds += failureCost * target * e.failureRate * decay(now.Sub(e.failureRateUpdated), evidenceHalfLife)
-	if e.InFlight > 0 && now.Sub(e.lastProgress).Seconds() > stalledTimeFactor*serviceTime {
-		seconds += target
-	}
-	if e.Zone != q.Zone {
-		seconds += otherZoneCost * target
-	}
-	return seconds * (1 - costJitter/2 + costJitter*t.rng.Float64())
-}
-
-func (t *Table) loadHalfLife(id fleet.ServiceID) time.Duration {
-	return max(minLoadHalfLife, time.Duration(loadMeanTimes*t.meanTimes[id]*float64(time.Second)))
-}
-
 // ServiceTime returns the estimated service time of e in seconds, without queueing. As
 // the last answer of e gets older, the estimate approaches the mean of the service.
 func (t *Table) ServiceTime(now time.Time, e *Entry) float64 {
-	serviceMean := t.meanTimes[e.Service]
-	if serviceMean == 0 {
-		serviceMean = 0.2 // any value serves before the first answer: it is the same for all upstreams
-	}
+	return e.serviceTime(now, t.serviceMean(e.Service))
+}
+
+func (e *Entry) serviceTime(now time.Time, serviceMean float64) float64 {
 	if e.shortMeanTime == 0 {
 		return serviceMean
 	}
@@ -397,6 +323,14 @@
 	return e.shortMeanTime*ownWeight + serviceMean*(1-ownWeight)
 }
 
+// serviceMean returns the mean service time of a service in seconds.
+func (t *Table) serviceMean(id fleet.ServiceID) float64 {
+	if mean := t.meanTimes[id]; mean > 0 {
+		return mean
+	}
+	return 0.2 // any value serves before the first answer: it is the same for all upstreams
+}
+
 // Started counts a request that is sent to e.
 func (t *Table) Started(now time.Time, e *Entry) {
 	if e.InFlight == 0 {
@@ -459,6 +393,8 @@
 	if load != nil {
 		e.load, e.loadReported = *load, now
 		e.othersInFlight = max(0, float64(load.Running+load.Waiting-e.InFlight))
+		t.updateMeanLoad(e, load)
+		t.noteRecent(e)
 	}
 }
 
--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -1,6 +1,11 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
 
 // Capacity is the load that an upstream serves within its usual service time.
 type Capacity struct {
@@ -8,16 +13,120 @@
 	InFlight float64 // requests in flight, of all instances
 }
 
-// MinServiceTime, in seconds, bounds the assumed service time from below. Otherwise an
+// MinServiceTime is the shortest service time, in seconds, that is assumed. Otherwise an
 // upstream that answered a few requests immediately would be assigned all keys.
 const MinServiceTime = 0.005
 
-// Capacity returns the capacity of e.
+const (
+	// toldLimitTTL is the time for which a limit that the leader has told holds. The leader
+	// repeats limits below the slots every limitRepeatInterval. A limit of a lost leader
+	// would otherwise hold for as long as the upstream runs.
+	toldLimitTTL        = 30 * time.Second
+	limitRepeatInterval = 10 * time.Second
+	// significantInFlightChange is the change of a limit in flight, as a share of it, from
+	// which on the leader tells it.
+	significantInFlightChange = 0.15
+)
+
+// Capacity returns the capacity of e. The leader learns it from the answers to all
+// instances. Another instance learns the rate from the answers to itself, and the limit in
+// flight from the leader if that is below the slots of e.
 func (t *Table) Capacity(now time.Time, e *Entry) Capacity {
-	slots := float64(e.Slots)
-	c := Capacity{Rate: slots / max(t.LongMeanTime(now, e), MinServiceTime), InFlight: slots}
+	inFlight, relativeTime := e.curve.limit(float64(e.Slots))
+	c := Capacity{Rate: inFlight / max(t.LongMeanTime(now, e)*relativeTime, MinServiceTime), InFlight: inFlight}
+	if e.toldLimitValid(now) {
+		c.InFlight = e.toldLimit
+	}
 	if limit := float64(e.LimitRate()); limit > 0 {
 		c.Rate = min(c.Rate, limit)
 	}
 	return c
 }
+
+func (e *Entry) toldLimitValid(now time.Time) bool {
+	return e.toldLimit > 0 && now.Sub(e.toldLimitAt) < toldLimitTTL
+}
+
+// inFlightLimit returns the requests in flight, of all instances, that e handles well.
+func (e *Entry) inFlightLimit(now time.Time) float64 {
+	if e.toldLimitValid(now) {
+		return e.toldLimit
+	}
+	if e.ownLimit > 0 {
+		return e.ownLimit
+	}
+	return float64(e.Slots)
+}
+
+// InFlightLimit is the limit in flight of an upstream, of all instances together, in
+// messages between instances.
+type InFlightLimit struct {
+	ID    fleet.UpstreamID
+	Boot  fleet.BootID
+	Limit float64
+}
+
+// SetInFlightLimits records limits that the leader has told.
+func (t *Table) SetInFlightLimits(now time.Time, limits []InFlightLimit) {
+	for _, l := range limits {
+		if e := t.entries[l.ID]; e != nil && e.Boot == l.Boot && l.Limit >= 1 {
+			e.toldLimit, e.toldLimitAt = min(l.Limit, float64(max(e.Slots, 1))), now
+		}
+	}
+}
+
+// InFlightLog contains the limits in flight that a leader has told, each with the version
+// in which it last changed.
+type InFlightLog struct {
+	seq  uint64
+	told map[fleet.UpstreamID]toldInFlight
+}
+
+type toldInFlight struct {
+	boot  fleet.BootID
+	limit float64
+	at    time.Time
+	seq   uint64
+}
+
+// Update records the learned limit of e. A limit is told if it is below the slots of e, or
+// has been since e started.
+func (l *InFlightLog) Update(now time.Time, t *Table, id fleet.UpstreamID) {
+	e := t.entries[id]
+	if e == nil {
+		return
+	}
+	slots := float64(e.Slots)
+	limit, _ := e.curve.limit(slots)
+	last, known := l.told[id]
+	known = known && last.boot == e.Boot
+	if !known {
+		last = toldInFlight{limit: slots}
+	}
+	changed := math.Abs(limit-last.limit) >= significantInFlightChange*last.limit
+	due := last.limit < slots && now.Sub(last.at) >= limitRepeatInterval
+	if !changed && !due {
+		return
+	}
+	if l.told == nil {
+		l.told = make(map[fleet.UpstreamID]toldInFlight)
+	}
+	l.seq++
+	l.told[id] = toldInFlight{boot: e.Boot, limit: limit, at: now, seq: l.seq}
+}
+
+// Since returns the limits that were told after version seq, and the present version.
+func (l *InFlightLog) Since(t *Table, seq uint64) ([]InFlightLimit, uint64) {
+	var limits []InFlightLimit
+	for id, told := range l.told {
+		e := t.entries[id]
+		if e == nil || e.Boot != told.boot {
+			delete(l.told, id)
+			continue
+		}
+		if told.seq > seq {
+			limits = append(limits, InFlightLimit{ID: id, Boot: told.boot, Limit: told.limit})
+		}
+	}
+	return limits, l.seq
+}
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -42,6 +42,7 @@
 		e.samples.Unqueued++
 		e.samples.UnqueuedSeconds += seconds
 		t.updateLongMean(e, seconds, 1)
+		t.updateCurve(e, seconds, load)
 	}
 	if load != nil && load.Slowdown > 1 {
 		seconds /= load.Slowdown // caused by other load on the upstream's machine, and short-lived
@@ -96,6 +97,7 @@
 	UnqueuedSeconds float64 // total service time of the Unqueued answers
 	Queued          int     // answers while other requests waited
 	Lost            int     // requests that were refused by a full queue, or waited without an answer
+	Curve           LoadCurve
 }
 
 func (s Samples) empty() bool { return s.Unqueued+s.Queued+s.Lost == 0 }
@@ -115,16 +117,29 @@
 
 // LearnSamples adds the samples of another instance to the service times of an upstream.
 func (t *Table) LearnSamples(now time.Time, id fleet.UpstreamID, samples Samples) {
+	t.LearnCapacity(id, samples)
 	e := t.entries[id]
 	if e == nil || samples.Unqueued <= 0 {
 		return
 	}
 	mean := samples.UnqueuedSeconds / float64(samples.Unqueued)
-	t.updateLongMean(e, mean, samples.Unqueued)
 	t.updateShortMeans(now, e, mean, 1-math.Pow(1-shortMeanWeight, float64(samples.Unqueued)))
 	e.lastLearned = now
 }
 
+// LearnCapacity adds the samples of another instance to the capacity of an upstream, but
+// not to the service times by which this instance chooses: instances that choose by the same
+// service times choose the same upstreams.
+func (t *Table) LearnCapacity(id fleet.UpstreamID, samples Samples) {
+	e := t.entries[id]
+	if e == nil || samples.Unqueued <= 0 {
+		return
+	}
+	t.updateLongMean(e, samples.UnqueuedSeconds/float64(samples.Unqueued), samples.Unqueued)
+	e.curve.add(samples.Curve)
+	e.ownLimit, _ = e.curve.limit(float64(e.Slots))
+}
+
 // ownServiceTime returns the result of ServiceTime, or 0 before the first answer of e.
 func (t *Table) ownServiceTime(now time.Time, e *Entry) float64 {
 	if e.shortMeanTime == 0 {
