direct: the leader learns the capacity of all upstreams and tells limits in flight

Cause: an instance of a large fleet gets a few answers of an upstream in a minute, too few to learn how its service time depends on its load; the leader heard of sharded services only.

Change: reports carry the sums of load curves, for all services. The leader learns rates and limits in flight from them and replies with the limits that are below the slots. Routes have a mean response size, by which large bodies prefer the own zone. Gauges and a log line show what is learned.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -389,12 +389,12 @@
 	e.lastProgress = now
 	if v != Unreachable && v != Silent {
 		e.lastAnswer = now
+		t.noteRecent(e)
 	}
 	if load != nil {
 		e.load, e.loadReported = *load, now
 		e.othersInFlight = max(0, float64(load.Running+load.Waiting-e.InFlight))
 		t.updateMeanLoad(e, load)
-		t.noteRecent(e)
 	}
 }
 
--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -58,6 +58,23 @@
 	return float64(e.Slots)
 }
 
+// UpstreamCapacity is the capacity of an upstream and its slots.
+type UpstreamCapacity struct {
+	Capacity
+	Slots fleet.Slots
+}
+
+// Capacities returns the capacities of the upstreams of each service that has any.
+func (t *Table) Capacities(now time.Time) map[fleet.ServiceID][]UpstreamCapacity {
+	out := make(map[fleet.ServiceID][]UpstreamCapacity, len(t.byService))
+	for id, entries := range t.byService {
+		for _, e := range entries {
+			out[id] = append(out[id], UpstreamCapacity{Capacity: t.Capacity(now, e), Slots: e.Slots})
+		}
+	}
+	return out
+}
+
 // InFlightLimit is the limit in flight of an upstream, of all instances together, in
 // messages between instances.
 type InFlightLimit struct {
@@ -89,12 +106,18 @@
 	seq   uint64
 }
 
-// Update records the learned limit of e. A limit is told if it is below the slots of e, or
-// has been since e started.
-func (l *InFlightLog) Update(now time.Time, t *Table, id fleet.UpstreamID) {
+// InFlightChange is the result of InFlightLog.Update.
+type InFlightChange struct {
+	Crossed bool // the limit has fallen below the slots, or has reached them again
+	Limit   float64
+}
+
+// Update records the learned limit of an upstream. A limit is told if it is below the slots
+// of the upstream, or has been since that started.
+func (l *InFlightLog) Update(now time.Time, t *Table, id fleet.UpstreamID) InFlightChange {
 	e := t.entries[id]
 	if e == nil {
-		return
+		return InFlightChange{}
 	}
 	slots := float64(e.Slots)
 	limit, _ := e.curve.limit(slots)
@@ -106,13 +129,14 @@
 	changed := math.Abs(limit-last.limit) >= significantInFlightChange*last.limit
 	due := last.limit < slots && now.Sub(last.at) >= limitRepeatInterval
 	if !changed && !due {
-		return
+		return InFlightChange{}
 	}
 	if l.told == nil {
 		l.told = make(map[fleet.UpstreamID]toldInFlight)
 	}
 	l.seq++
 	l.told[id] = toldInFlight{boot: e.Boot, limit: limit, at: now, seq: l.seq}
+	return InFlightChange{Crossed: (limit < slots) != (last.limit < slots), Limit: limit}
 }
 
 // Since returns the limits that were told after version seq, and the present version.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -42,9 +42,9 @@
 	// upstream in another zone. Requests leave the zone of the instance only if its
 	// upstreams have queues.
 	maxOtherZoneLoad = 1.0
-	// largeBody is the size in bytes of a request with its response from which on
+	// LargeBody is the size in bytes of a request with its response from which on
 	// largeOtherZoneCost applies in place of roomOtherZoneCost.
-	largeBody          = 16 << 10
+	LargeBody          = 16 << 10
 	largeOtherZoneCost = 0.2
 )
 
@@ -101,7 +101,7 @@
 	share := otherZoneCost
 	switch {
 	case c.meanLoad > maxRoomLoad:
-	case q.Bytes >= largeBody:
+	case q.Bytes >= LargeBody:
 		share = largeOtherZoneCost
 	default:
 		share = roomOtherZoneCost
--- a/internal/balance/choose_test.go
+++ b/internal/balance/choose_test.go
@@ -39,7 +39,7 @@
 		return float64(f.crossed) / float64(len(f.latencies)), f.latencies[len(f.latencies)/2]
 	}
 	small, smallMedian := run(0)
-	large, largeMedian := run(largeBody)
+	large, largeMedian := run(LargeBody)
 	t.Logf("crossed zones: %.2f of small requests, %.2f of large ones; medians %v and %v", small, large, smallMedian, largeMedian)
 	if large > 0.8*small || largeMedian > smallMedian*11/10 {
 		t.Errorf("crossed zones: %.2f of small requests, %.2f of large ones; medians %v and %v", small, large, smallMedian, largeMedian)
--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -36,8 +36,9 @@
 	}
 }
 
+// query returns the criteria for an upstream of x. The caller must hold mu.
 func (r *Router) query(x *exchange, tried map[fleet.UpstreamID]bool) balance.Query {
-	return balance.Query{Service: x.service.ID, Zone: r.cfg.Zone, Target: x.route.Target, Exclude: tried}
+	return balance.Query{Service: x.service.ID, Zone: r.cfg.Zone, Target: x.route.Target, Bytes: r.responseSizes.expected(x), Exclude: tried}
 }
 
 // takeRetry reports whether x may be sent once more, and takes the repetition from the
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -106,6 +106,8 @@
 	recordedCount int
 	stop          chan struct{} // closed by end
 	stopOnce      sync.Once
+
+	inFlight balance.InFlightLog // guarded by Router.mu
 }
 
 // end signals all goroutines that work for the leader to stop.
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -158,6 +158,11 @@
 		e.ArrEnd()
 	}
 	e.ObjEnd()
+	encodeCurves(&e, r.Curves)
+	if r.InFlightSeq > 0 {
+		e.FieldStart("in-flight-seq")
+		e.UInt64(r.InFlightSeq)
+	}
 	e.FieldStart("limit-seq")
 	e.UInt64(r.LimitSeq)
 	if len(r.Leaving) > 0 {
@@ -221,6 +226,10 @@
 			r.Limits, err = decodeRunLimits(d)
 		case "speeds":
 			r.ServiceTimes, err = decodeServiceTimes(d)
+		case "curves":
+			r.Curves, err = decodeCurves(d)
+		case "in-flight-seq":
+			r.InFlightSeq, err = d.UInt64()
 		case "keys":
 			err = d.Obj(func(d *jx.Decoder, id string) error {
 				return d.Arr(func(d *jx.Decoder) error {
@@ -278,6 +287,7 @@
 	e.FieldStart("limit-seq")
 	e.UInt64(r.LimitSeq)
 	encodeRunLimits(&e, r.Limits)
+	encodeInFlight(&e, r.InFlight)
 	if r.MapVersion.Seq > 0 {
 		e.FieldStart("map")
 		r.encodeMap(&e)
@@ -363,6 +373,10 @@
 			r.LimitSeq, err = d.UInt64()
 		case "limits":
 			r.Limits, err = decodeRunLimits(d)
+		case "in-flight":
+			r.InFlight.Limits, err = decodeInFlight(d)
+		case "in-flight-seq":
+			r.InFlight.Seq, err = d.UInt64()
 		case "map":
 			err = r.decodeMap(d)
 		default:
--- a/internal/direct/message_test.go
+++ b/internal/direct/message_test.go
@@ -43,6 +43,7 @@
 		`{"term":1,"map":{"seq":1,"holders":["u"],"services":{"s":[9,3,0]}}}`,
 		`{"instance":"i","addr":"x","store-age-ms":-1,"speeds":{"u":[-1,-2,-3,-4]},"keys":{"s":[0,65535]},"demand":{"a":-1}}`,
 		`{"instance":"i","leaving":[["u","b","x"]],"limits":[["u","b","x",1,2]],"list":{"seq":1}}`,
+		`{"instance":"i","curves":{"u":[1,2,3,4,5,6]},"in-flight-seq":1,"in-flight":[["u","b",1.5]]}`,
 	} {
 		f.Add([]byte(s))
 	}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -46,6 +46,7 @@
 	bodies               *prometheus.GaugeVec // by of: the kind of bodies
 	callerConns          prometheus.Gauge
 	requestsInProgress   prometheus.Gauge
+	capacities           capacityMetrics
 }
 
 // durationBuckets are the upper bounds of the duration histogram, in seconds. They are
@@ -144,6 +145,7 @@
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.cutResponses, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
 	m.registry.MustRegister(m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
+	m.capacities = newCapacityMetrics(m.registry)
 	return m
 }
 
@@ -194,6 +196,7 @@
 	for service, n := range r.upstreams.LimitedUpstreams() {
 		m.limited.WithLabelValues(serviceLabel(service)).Set(float64(n))
 	}
+	m.capacities.update(now, r.upstreams)
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
 			m.upstreams.WithLabelValues(serviceLabel(service), string(state)).Set(float64(n))
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -75,15 +75,17 @@
 	MapVersion    keyspace.MapVersion                  // version of the sender's holder map
 	Keys          map[fleet.ServiceID][]keyspace.Key   // requested by callers since the last report
 	Demand        map[fleet.AccountID]float64          // requests/s; nil if reported recently
-	ServiceTimes  map[fleet.UpstreamID]balance.Samples // only of sharded services
-	StoreAge      time.Duration                        // time since the sender's last successful store call
-	InstancesHash uint64                               // fingerprint of the instances that the sender knows
-	ListTerm      fleet.Revision                       // term of the leader that sent the sender's list of upstreams
-	ListSeq       uint64                               // version of this list
-	OperatorSeq   uint64                               // last version of the operator state received from this leader
-	OperatorTag   string                               // tag of the sender's operator state
-	Restorations  uint64                               // number in the last reply of this leader
-	LimitSeq      uint64                               // last version of this leader's limits of upstreams that the sender has
+	ServiceTimes  map[fleet.UpstreamID]balance.Samples // without their curves
+	Curves        map[fleet.UpstreamID]balance.LoadCurve
+	InFlightSeq   uint64         // last version of this leader's limits in flight that the sender has
+	StoreAge      time.Duration  // time since the sender's last successful store call
+	InstancesHash uint64         // fingerprint of the instances that the sender knows
+	ListTerm      fleet.Revision // term of the leader that sent the sender's list of upstreams
+	ListSeq       uint64         // version of this list
+	OperatorSeq   uint64         // last version of the operator state received from this leader
+	OperatorTag   string         // tag of the sender's operator state
+	Restorations  uint64         // number in the last reply of this leader
+	LimitSeq      uint64         // last version of this leader's limits of upstreams that the sender has
 	// Leaving and Limits are from answers of upstreams to the sender: the upstreams that
 	// leave, and the limits. The leader answers a report with either at once.
 	Leaving []balance.Run
@@ -109,6 +111,7 @@
 	List       listDelta
 	Limits     []balance.RunLimit // of upstreams; those that have changed since the sender's version
 	LimitSeq   uint64             // version of the leader's limits
+	InFlight   inFlightReply
 	// The leader's operator state, and the time since the leader knew it to be current.
 	OperatorTag string
 	OperatorSeq uint64 // version of the operator state, counted by this leader
@@ -130,10 +133,7 @@
 		rep.Demand, r.demandReportedAt = r.accounts.divided.Demand(now), now
 		r.reportedDemand = rep.Demand
 	}
-	op := r.operatorState.Load()
-	rep.ServiceTimes = r.upstreams.TakeSamples(func(id fleet.ServiceID) bool {
-		return op != nil && op.Table != nil && op.Table.Services[id].Sharded
-	})
+	r.takeSamples(&rep)
 	return rep
 }
 
@@ -143,7 +143,7 @@
 	rep := report{
 		Instance: r.cfg.Instance, Addr: r.cfg.PeerListen, StoreAge: r.storeAge(now), InstancesHash: fingerprint(r.instances),
 		ListTerm: r.listReplica.term, ListSeq: r.listReplica.seq, OperatorSeq: r.operatorSeqReceived, OperatorTag: r.operatorState.Load().Tag(),
-		Restorations: r.leaderRestorations, LimitSeq: r.limitSeqReceived,
+		Restorations: r.leaderRestorations, LimitSeq: r.limitSeqReceived, InFlightSeq: r.inFlightSeqReceived,
 	}
 	if m := r.holderMap.Load(); m != nil {
 		rep.MapVersion = m.Version
@@ -319,6 +319,8 @@
 	r.listFromStore = r.listFromStore || changed && !newer // the list in use lacks the changes
 	r.noteEra(now, rp.Term.Era())
 	r.operatorSeqReceived, r.leaderRestorations, r.limitSeqReceived = rp.OperatorSeq, rp.Restorations, rp.LimitSeq
+	r.inFlightSeqReceived = rp.InFlight.Seq
+	r.upstreams.SetInFlightLimits(now, rp.InFlight.Limits)
 	if rp.OperatorTag != "" && rp.OperatorTag == r.operatorState.Load().Tag() {
 		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, repliedAt.Add(-rp.OperatorAge))
 	}
@@ -467,9 +469,10 @@
 	rp.List = r.leaderList.changesSince(now, rep.ListSeq)
 	rp.List.Age = now.Sub(r.listedAt)
 	if rep.ListTerm != l.term {
-		rep.LimitSeq = 0
+		rep.LimitSeq, rep.InFlightSeq = 0, 0
 	}
 	rp.Limits, rp.LimitSeq = r.limitsSince(now, rep.LimitSeq)
+	rp.InFlight.Limits, rp.InFlight.Seq = l.inFlight.Since(r.upstreams, rep.InFlightSeq)
 	return rp
 }
 
@@ -494,14 +497,7 @@
 		r.mergeLimits(now, rep.Limits, "report of "+string(rep.Instance))
 	}
 	r.mu.Lock()
-	if rep.Instance != r.cfg.Instance {
-		for id, s := range rep.ServiceTimes {
-			r.upstreams.LearnSamples(now, id, s)
-		}
-	}
-	for id, s := range rep.ServiceTimes {
-		r.upstreams.CountAnswers(now, id, s)
-	}
+	r.learnCapacities(now, l, rep)
 	r.mu.Unlock()
 }
 
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -22,6 +22,8 @@
 		Keys:         map[fleet.ServiceID][]keyspace.Key{"s": {1, 65535}},
 		Demand:       map[fleet.AccountID]float64{"a": 12.5},
 		ServiceTimes: map[fleet.UpstreamID]balance.Samples{"u": {Unqueued: 2, UnqueuedSeconds: 0.25, Queued: 3, Lost: 1}},
+		Curves:       map[fleet.UpstreamID]balance.LoadCurve{"u": {Answers: 2, InFlight: 5, InFlightSquares: 13, Seconds: 0.25, SecondsSquares: 0.03125, Products: 0.625}},
+		InFlightSeq:  6,
 		StoreAge:     1200 * time.Millisecond, InstancesHash: 10, ListTerm: 3, ListSeq: 7, OperatorSeq: 2, OperatorTag: "5 [z]",
 		Leaving: []balance.Run{{ID: "u", Boot: "1", Addr: "1.2.3.4:5"}}, LimitSeq: 3,
 		Limits: []balance.RunLimit{{Run: balance.Run{ID: "v", Boot: "2", Addr: "1.2.3.4:6"}, Rate: 2.5, Age: time.Second}},
@@ -42,6 +44,7 @@
 			{Span: keyspace.Span{From: 0, To: 9}, Holder: "u"}, {Span: keyspace.Span{From: 10, To: 65535}},
 		}},
 		Members: []fleet.Peer{{ID: "i1", Addr: "1.2.3.4:6"}}, Demand: map[fleet.AccountID]float64{"a": 3},
+		InFlight:    inFlightReply{Limits: []balance.InFlightLimit{{ID: "u", Boot: "1", Limit: 2.5}}, Seq: 9},
 		OperatorTag: "5 [z]", OperatorSeq: 4, OperatorAge: 20 * time.Millisecond,
 		Source: []byte("{\"version\":\"5\"}\n"), Evacuated: []fleet.ZoneID{"z"}, OperatorRevision: 70,
 		List: listDelta{Seq: 8, Age: 30 * time.Millisecond, Removed: []fleet.UpstreamID{"v"}, Changed: []balance.Registration{
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -112,6 +112,9 @@
 	limitSeqReceived    uint64        // last version of the leader's limitLog that this instance has
 	newsReady           chan struct{} // closed when an upstream states that it leaves, or its limit has changed
 
+	inFlightSeqReceived uint64 // last version of the leader's limits in flight that this instance has
+	responseSizes       responseSizes
+
 	// Data for replies, if this instance leads.
 	leadership  *leadership   // nil unless this instance leads
 	update      chan struct{} // closed when there is an update for held reports
@@ -131,7 +134,7 @@
 		operatorReadRequests: make(chan struct{}, 1), configured: make(chan struct{}),
 		leaderList: newLeaderList(), update: make(chan struct{}), recentMaps: make(map[keyspace.MapVersion]*keyspace.Map),
 		accounts: newLimiter[fleet.AccountID](now, accountTolerance(cfg.Quota)), upstreamLimits: newLimiter[balance.Run](now, upstreamTolerance),
-		homeFailedAt: make(map[fleet.InstanceID]time.Time), limitLog: newLimitLog(),
+		homeFailedAt: make(map[fleet.InstanceID]time.Time), limitLog: newLimitLog(), responseSizes: make(responseSizes),
 		retryBudgets: make(map[fleet.ServiceID]*balance.RetryBudget), holderMapUpdated: make(chan struct{}), newsReady: make(chan struct{}),
 		requestedKeys:  make(map[fleet.ServiceID][]keyspace.Key),
 		evacuatedSince: make(map[fleet.ZoneID]time.Time), evacuationEndedAt: make(map[fleet.ZoneID]time.Time), invalidLoggedAt: make(map[entryKind]time.Time),
