--- a/internal/balance/choose_bench_test.go
+++ b/internal/balance/choose_bench_test.go
@@ -1,36 +1,20 @@
 package balance
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
-
-	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
 // BenchmarkChoose measures one decision of an instance of 80 among 231 upstreams in three
 // zones, with loads known of all of them.
 func BenchmarkChoose(b *testing.B) {
-	const upstreams, instances = 231, 80
-	table := newTable("i0", 0)
-	var list []Registration
-	for i := range upstreams {
-		list = append(list, Registration{ID: fleet.UpstreamID(fmt.Sprint("u", i)), Service: lookup, Zone: zone(i % 3), Slots: 4, Boot: "1"})
-	}
-	var ids []fleet.InstanceID
-	for i := range instances {
-		ids = append(ids, fleet.InstanceID(fmt.Sprint("i", i)))
-	}
-	table.SetInstances(ids)
-	table.Replace(start, list)
-	rng := rand.New(rand.NewPCG(1, 2))
-	for _, r := range list {
-		e := table.Get(r.ID)
+	f := newFleet(fleetShape{instances: 80, upstreams: 231, slots: 4, zones: 3, speeds: []float64{1}})
+	table := f.tables[0]
+	for _, e := range table.Service("desk") {
 		table.Started(start, e)
-		table.Ended(start, e, Answered, time.Duration(100+rng.IntN(300))*time.Millisecond, &Load{Running: 1 + rng.IntN(4), Slots: 4, Slowdown: 1 + 2*rng.Float64()})
+		table.Ended(start, e, Answered, time.Duration(100+f.rng.IntN(300))*time.Millisecond, &Load{Running: 1 + f.rng.IntN(4), Slots: 4, Slowdown: 1 + 2*f.rng.Float64()})
 	}
-	now, q := start, Query{Service: lookup, Zone: zone(0), Target: time.Second}
+	now, q := start, Query{Service: "desk", Zone: f.zones[0], Target: time.Second}
 	for b.Loop() {
 		now = now.Add(100 * time.Microsecond)
 		e, _ := table.Choose(now, q)
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -109,7 +109,7 @@
 	noAnswer := a.verdict == balance.Silent && !upstream.AnsweredSince(sentAt)
 	r.upstreams.Ended(now, upstream, a.verdict, now.Sub(sentAt), a.metadata.Load)
 	if a.verdict == balance.Answered {
-		r.responseSizes.note(x, a.response)
+		r.noteResponse(x, run, a.response)
 	}
 	x.attempts = append(x.attempts, formatAttempt(a, now.Sub(sentAt)))
 	r.mu.Unlock()
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -47,6 +47,8 @@
 	callerConns          prometheus.Gauge
 	requestsInProgress   prometheus.Gauge
 	capacities           capacityMetrics
+
+	otherZoneBytes *prometheus.CounterVec // by service
 }
 
 // durationBuckets are the upper bounds of the duration histogram, in seconds. They are
@@ -145,6 +147,10 @@
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.cutResponses, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
 	m.registry.MustRegister(m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
+	m.otherZoneBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyproxy_direct_other_zone_bytes_total", Help: "Body bytes of requests and responses that were exchanged with upstreams in other zones.",
+	}, []string{"service"})
+	m.registry.MustRegister(m.otherZoneBytes)
 	m.capacities = newCapacityMetrics(m.registry)
 	return m
 }
--- a/internal/direct/sizes.go
+++ b/internal/direct/sizes.go
@@ -24,12 +24,35 @@
 // responseSizes contains the mean size of responses, in bytes.
 type responseSizes map[sizedRoute]float64
 
-// expected returns the size of the bodies of x and of its expected response, in bytes.
-func (s responseSizes) expected(x *exchange) int {
+// bodySize returns the size of the request's body in bytes.
+func (x *exchange) bodySize() int {
 	size := 0
 	for _, chunk := range x.body {
 		size += len(chunk)
 	}
+	return size
+}
+
+// responseSize returns the size of a response's body in bytes. A streamed body may end early.
+func responseSize(res *http1.Response) float64 {
+	if res.Stream != nil {
+		return float64(res.Stream.Length)
+	}
+	return float64(len(res.Body))
+}
+
+// noteResponse records the sizes of the bodies of x and of the response to it from an
+// upstream. The caller must hold mu.
+func (r *Router) noteResponse(x *exchange, upstream balance.Registration, res *http1.Response) {
+	r.responseSizes.note(x, res)
+	if upstream.Zone != r.cfg.Zone {
+		r.metrics.otherZoneBytes.WithLabelValues(serviceLabel(upstream.Service)).Add(float64(x.bodySize()) + responseSize(res))
+	}
+}
+
+// expected returns the size of the bodies of x and of its expected response, in bytes.
+func (s responseSizes) expected(x *exchange) int {
+	size := x.bodySize()
 	mean, known := s[sizedRoute{x.route.Name, x.service.ID}]
 	size += int(mean)
 	switch x.route.Kind.(type) {
@@ -45,10 +68,7 @@
 
 // note records the size of a response to x.
 func (s responseSizes) note(x *exchange, res *http1.Response) {
-	size := float64(len(res.Body))
-	if res.Stream != nil {
-		size = float64(res.Stream.Length)
-	}
+	size := responseSize(res)
 	key := sizedRoute{x.route.Name, x.service.ID}
 	mean, known := s[key]
 	switch {
