--- a/internal/direct/message_test.go
+++ b/internal/direct/message_test.go
@@ -45,6 +45,7 @@
 		`{"instance":"i","admission":{"for-ms":700,"services":[{"service":"s","rates":[1,0,2.5],"answered":3,"rejected":1},{"service":"s","holder":"u","rates":[1]}]}}`,
 		`{"term":1,"admission":[{"service":"s","shares":[1000,120]},{"service":"s","holder":"u","shares":[1]}]}`,
 		`{"instance":"i","leaving":[["u","b","x"]],"limits":[["u","b","x",1,2]],"list":{"seq":1}}`,
+		`{"instance":"i","curves":{"u":[1,2,3,4,5,6]},"in-flight-seq":1,"in-flight":[["u","b",1.5]]}`,
 	} {
 		f.Add([]byte(s))
 	}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -49,6 +49,9 @@
 	callerConns          prometheus.Gauge
 	requestsInProgress   prometheus.Gauge
 	admission            admissionMetrics
+	capacities           capacityMetrics
+
+	otherZoneBytes *prometheus.CounterVec // by service
 }
 
 // durationBuckets are the upper bounds of the duration histogram, in seconds. They are
@@ -149,6 +152,11 @@
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
 	m.registry.MustRegister(m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
 	m.admission = newAdmissionMetrics(m.registry)
+	m.otherZoneBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyproxy_direct_other_zone_bytes_total", Help: "Body bytes of requests and responses that were exchanged with upstreams in other zones.",
+	}, []string{"service"})
+	m.registry.MustRegister(m.otherZoneBytes)
+	m.capacities = newCapacityMetrics(m.registry)
 	return m
 }
 
@@ -200,6 +208,7 @@
 	for service, n := range r.upstreams.LimitedUpstreams() {
 		m.limited.WithLabelValues(serviceLabel(service)).Set(float64(n))
 	}
+	m.capacities.update(now, r.upstreams)
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
 			m.upstreams.WithLabelValues(serviceLabel(service), string(state)).Set(float64(n))
