--- a/internal/balance/expect.go
+++ b/internal/balance/expect.go
@@ -19,13 +19,18 @@
 // Expect returns the estimated response time of e, from the same estimates as Choose, without
 // its additional costs.
 func (t *Table) Expect(now time.Time, e *Entry) Expectation {
-	serviceTime := t.ServiceTime(now, e)
-	x := Expectation{Stalled: e.InFlight > 0 && now.Sub(e.lastProgress).Seconds() > stalledTimeFactor*serviceTime}
+	c := t.newChoice(now, Query{Service: e.Service, Zone: e.Zone})
+	return c.expect(e)
+}
+
+func (c *choice) expect(e *Entry) Expectation {
+	loadAge := c.now.Sub(e.loadReported)
+	serviceTime := e.serviceTime(c.now, c.serviceMean)
+	x := Expectation{Stalled: e.InFlight > 0 && c.now.Sub(e.lastProgress).Seconds() > stalledTimeFactor*serviceTime}
 	if e.load.Slowdown > 1 {
-		serviceTime *= 1 + (e.load.Slowdown-1)*decay(now.Sub(e.loadReported), slowdownHalfLife)
+		serviceTime *= 1 + (e.load.Slowdown-1)*decay(loadAge, slowdownHalfLife)
 	}
-	ahead := float64(e.InFlight) + e.othersInFlight*decay(now.Sub(e.loadReported), t.loadHalfLife(e.Service))
-	slots := float64(max(e.Slots, 1))
+	ahead, slots := c.ahead(e, loadAge), max(e.inFlightLimit(c.now), 1)
 	x.Work = seconds(serviceTime)
 	x.Wait = seconds(serviceTime * max(0, ahead+1-slots) / slots)
 	return x
@@ -44,11 +49,12 @@
 func (t *Table) Earliest(now time.Time, id fleet.ServiceID, exclude map[fleet.UpstreamID]bool) (Expectation, bool) {
 	var best Expectation
 	found := false
+	c := t.newChoice(now, Query{Service: id})
 	for _, e := range t.byService[id] {
 		if !t.Available(now, e) || exclude[e.ID] {
 			continue
 		}
-		if x := t.Expect(now, e); !found || x.Response() < best.Response() {
+		if x := c.expect(e); !found || x.Response() < best.Response() {
 			best, found = x, true
 		}
 	}
@@ -68,18 +74,22 @@
 func (t *Table) ChooseWithin(now time.Time, q Query, left time.Duration, trusted bool) *Entry {
 	var best *Entry
 	bestCost := 0.0
-	for _, e := range t.byService[q.Service] {
+	c, list := t.newChoice(now, q), t.byService[q.Service]
+	if trusted && len(list) > recentSize {
+		list = t.recent[q.Service]
+	}
+	for _, e := range list {
 		if trusted && (now.Sub(e.lastAnswer) > trustTime || e.failureRate*decay(now.Sub(e.failureRateUpdated), evidenceHalfLife) > maxTrustedFailureRate) {
 			continue
 		}
 		if q.Exclude[e.ID] || e.Cold(now) || !t.Available(now, e) {
 			continue
 		}
-		x := t.Expect(now, e)
+		x := c.expect(e)
 		if x.Stalled || x.Response() > left || trusted && x.Wait > 0 {
 			continue
 		}
-		if cost := t.cost(now, e, q); best == nil || cost < bestCost {
+		if cost := c.cost(e); best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -145,7 +145,7 @@
 		c.Add(now, t, true, admission.Counts{Requests: requests.Times(part)})
 	}
 	for id, s := range rep.ServiceTimes {
-		if e := r.upstreams.Get(id); e != nil {
+		if e := r.upstreams.Get(id); e != nil && op.Table.Services[e.Service].Sharded {
 			evidence := admission.Evidence{Answered: float64(s.Unqueued + s.Queued), Rejected: float64(s.Lost)}
 			c.Add(now, admission.Target{Service: e.Service, Holder: id}, true, admission.Counts{Evidence: evidence})
 		}
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -109,6 +109,9 @@
 	noAnswer := a.verdict == balance.Silent && !upstream.AnsweredSince(sentAt)
 	r.upstreams.Ended(now, upstream, a.verdict, now.Sub(sentAt), a.metadata.Load)
 	r.countAttempt(x, a)
+	if a.verdict == balance.Answered {
+		r.noteResponse(x, run, a.response)
+	}
 	x.attempts = append(x.attempts, formatAttempt(a, now.Sub(sentAt)))
 	r.mu.Unlock()
 	if noAnswer {
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -109,6 +109,8 @@
 	shares        admission.Shares      // that replies carry; guarded by Router.mu
 	stop          chan struct{}         // closed by end
 	stopOnce      sync.Once
+
+	inFlight balance.InFlightLog // guarded by Router.mu
 }
 
 // end signals all goroutines that work for the leader to stop.
