direct: nothing is sent to full holders; a share of a hot key is admitted

Cause: an instance of 77 sees an answer of a given holder only every few seconds and sent into full queues, where a request waited for 1.1 s and was refused. The leader learned of a surge only by regular reports, up to 0.7 s late.

Change: instances report the stated loads of queued holders (field `holder-loads`), at once if a holder is full, at most every 300 ms. The leader merges them, the newest wins, and replies with the holders at which a request waits for 100 ms or longer, their rates and ages, and with the admitted shares of keys that are too hot for their holders. A request that would be answered later than its target latency, or not before its deadline, is refused at once, also before it is repeated. The refusal is 502 if an earlier attempt may have run. Retry delays follow the time until there is room and are spread.

--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -77,7 +77,7 @@
 			}
 			return x.sends.begin(index)
 		},
-		Header:      r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
+		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
 		metadata := r.platform.Protocol.ParseResponse(res.Status, res.Header)
@@ -108,6 +108,7 @@
 	r.mu.Lock()
 	noAnswer := a.verdict == balance.Silent && !upstream.AnsweredSince(sentAt)
 	r.upstreams.Ended(now, upstream, a.verdict, now.Sub(sentAt), a.metadata.Load)
+	r.noteHolderLoad(now, x, a)
 	x.attempts = append(x.attempts, formatAttempt(a, now.Sub(sentAt)))
 	r.mu.Unlock()
 	if noAnswer {
--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -23,6 +23,10 @@
 		now := time.Now()
 		upstream, reason, resumes := r.chooseHolder(now, x)
 		if upstream != nil && upstream != reserved {
+			if out, refused := r.refuseForLoad(now, x, upstream); refused {
+				r.release(now, upstream)
+				return out
+			}
 			d := r.admitSend(ctx, now, x, upstream, r.maxLimitWait(now, x, upstream))
 			if !d.Admitted || d.Wait > 0 {
 				r.release(now, upstream)
@@ -48,6 +52,7 @@
 			continue
 		}
 		x.arrivals++
+		r.noteSentToHolder(upstream)
 		a := r.send(ctx, x, upstream, x.arrivals)
 		if a.err == nil && !a.metadata.NotRun {
 			return upstreamOutcome(r.platform.Protocol, x, a)
@@ -71,7 +76,7 @@
 	retry := false
 	switch {
 	case errors.Is(a.err, http1.ErrConnRejected):
-		return refuse(http.StatusServiceUnavailable, "holder-full", retryAfterFull), true
+		return refuse(http.StatusServiceUnavailable, "holder-full", r.holderRetryDelay(time.Now(), x, a.upstream)), true
 	case errors.Is(a.err, errStopping):
 		return refuse(http.StatusServiceUnavailable, "instance-stops", retryAfterFull), true
 	case errors.Is(a.err, errNotAllowed):
@@ -96,7 +101,7 @@
 		}
 		retry = r.takeRetry(time.Now(), x)
 	case a.metadata.Load == nil || a.metadata.Load.Queued() || x.arrivals > x.route.MaxAttempts:
-		return refuse(http.StatusServiceUnavailable, "holder-full", retryAfterFull), true
+		return refuse(http.StatusServiceUnavailable, "holder-full", r.holderRetryDelay(time.Now(), x, a.upstream)), true
 	default:
 		// The upstream refuses some requests although it has free slots; it may accept
 		// a repetition.
--- /dev/null
+++ b/internal/direct/holders.go
@@ -0,0 +1,126 @@
+package direct
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/parsleyproxy/parsleyproxy/internal/balance"
+	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+// holderNewsInterval is the shortest time between two reports that an instance sends at
+// once because a holder is full. A holder whose keys become busy is full within 0.1 s, the
+// regular reports of all instances take up to 0.7 s.
+const holderNewsInterval = 300 * time.Millisecond
+
+// holderCapacity returns a function that returns an upstream and its capacity at now.
+func (r *Router) holderCapacity(now time.Time) func(fleet.UpstreamID) (*balance.Entry, balance.Capacity) {
+	return func(id fleet.UpstreamID) (*balance.Entry, balance.Capacity) {
+		e := r.upstreams.Get(id)
+		if e == nil {
+			return nil, balance.Capacity{}
+		}
+		return e, r.upstreams.Capacity(now, e)
+	}
+}
+
+// refuseForLoad refuses x if its holder is known to be too full to answer it in time, or if
+// its time is too short. It returns false if x is to be sent.
+func (r *Router) refuseForLoad(now time.Time, x *exchange, upstream *balance.Entry) (outcome, bool) {
+	q := holderRequest{
+		service: x.service.ID, key: x.info.RoutingKey, receivedAt: x.receivedAt, deadline: x.deadline,
+		target: x.route.Target, repeated: x.arrivals > 0,
+	}
+	r.mu.Lock()
+	verdict, retryAfter := r.holderLoads.decide(now, q, upstream, r.upstreams.Capacity(now, upstream), seconds(r.upstreams.ServiceTime(now, upstream)))
+	if verdict == longQueue {
+		r.noteFullHolder(now)
+	}
+	r.mu.Unlock()
+	if verdict == sendToHolder {
+		return outcome{}, false
+	}
+	r.metrics.holderRefusals.WithLabelValues(serviceLabel(x.service.ID), verdict.reason()).Inc()
+	if x.sends.close() { // an earlier attempt may have run
+		return refuse(http.StatusBadGateway, "upstream-lost", retryAfterHolderLost), true
+	}
+	return refuse(http.StatusServiceUnavailable, verdict.reason(), retryAfter), true
+}
+
+// holderRetryDelay returns the retry delay of a request that its holder has refused.
+func (r *Router) holderRetryDelay(now time.Time, x *exchange, upstream *balance.Entry) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holderLoads.roomIn(now, upstream, r.upstreams.Capacity(now, upstream), x.route.Target)
+}
+
+// noteSentToHolder counts a request that is sent to the holder of its key.
+func (r *Router) noteSentToHolder(upstream *balance.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holderLoads.sent(upstream)
+}
+
+// noteHolderLoad records the load in the answer to an attempt, if it was for a key. The
+// caller must hold mu.
+func (r *Router) noteHolderLoad(now time.Time, x *exchange, a attempt) {
+	if !x.service.Sharded {
+		return
+	}
+	r.holderLoads.note(now, a.upstream, a.metadata.Load)
+	if a.verdict == balance.Full {
+		r.noteFullHolder(now)
+	}
+}
+
+// noteFullHolder makes the instance report at once, unless it has just done so. The caller
+// must hold mu.
+func (r *Router) noteFullHolder(now time.Time) {
+	if !r.holderLoads.noteFull(now) {
+		return
+	}
+	r.metrics.holderReports.Inc()
+	close(r.newsReady)
+	r.newsReady = make(chan struct{})
+}
+
+// addHolderReport adds the requested keys and the loads of holders to a report. The caller
+// must hold mu.
+func (r *Router) addHolderReport(now time.Time, rep *report) {
+	rep.Keys = r.requestedKeys
+	r.requestedKeys = make(map[fleet.ServiceID][]keyspace.Key)
+	rep.HolderLoads = r.holderLoads.takeNews(now)
+}
+
+// holderNews returns what a reply tells of holders. The caller must hold mu.
+func (r *Router) holderNews(now time.Time) holderNews {
+	return holderNews{Loads: r.holderLoads.long(now, r.holderCapacity(now)), HotKeys: r.holderLoads.planned, Age: now.Sub(r.holderLoads.plannedAt)}
+}
+
+// applyHolderNews applies what a reply, made at repliedAt, tells of holders. The caller must
+// hold mu.
+func (r *Router) applyHolderNews(repliedAt time.Time, n holderNews) {
+	r.holderLoads.merge(repliedAt, n.Loads)
+	r.holderLoads.setHotKeys(repliedAt, n.Age, n.HotKeys)
+}
+
+// setHotKeys sets the keys that are too hot for their holders, as the leader has computed
+// them, for this instance and for replies.
+func (r *Router) setHotKeys(now time.Time, hotKeys map[fleet.ServiceID][]keyspace.KeyShare) {
+	r.mu.Lock()
+	before := r.holderLoads.planned
+	r.holderLoads.planned, r.holderLoads.plannedAt = hotKeys, now
+	r.holderLoads.setHotKeys(now, 0, hotKeys)
+	r.mu.Unlock()
+	for id, shares := range hotKeys {
+		if len(before[id]) == 0 {
+			r.log.Warn("keys too hot for their holders", "service", id, "keys", len(shares), "key", shares[0].Key, "share", shares[0].Share)
+		}
+	}
+	for id := range before {
+		if len(hotKeys[id]) == 0 {
+			r.log.Info("no key too hot for its holder", "service", id)
+		}
+	}
+}
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -255,6 +255,7 @@
 		if leaseValid {
 			l.coordinator.Plan(now)
 			r.logMoves(l)
+			r.setHotKeys(now, l.coordinator.HotKeys())
 		}
 	}
 	if leaseValid {
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -164,6 +164,11 @@
 		encodeRuns(&e, r.Leaving)
 	}
 	encodeRunLimits(&e, r.Limits)
+	encodeToldLoads(&e, "holder-loads", r.HolderLoads)
+	if r.Urgent {
+		e.FieldStart("urgent")
+		e.Bool(true)
+	}
 	e.FieldStart("keys")
 	e.ObjStart()
 	for id, keys := range r.Keys {
@@ -219,6 +224,10 @@
 			r.LimitSeq, err = d.UInt64()
 		case "limits":
 			r.Limits, err = decodeRunLimits(d)
+		case "holder-loads":
+			r.HolderLoads, err = decodeToldLoads(d)
+		case "urgent":
+			r.Urgent, err = d.Bool()
 		case "speeds":
 			r.ServiceTimes, err = decodeServiceTimes(d)
 		case "keys":
@@ -278,6 +287,7 @@
 	e.FieldStart("limit-seq")
 	e.UInt64(r.LimitSeq)
 	encodeRunLimits(&e, r.Limits)
+	r.Holders.encode(&e)
 	if r.MapVersion.Seq > 0 {
 		e.FieldStart("map")
 		r.encodeMap(&e)
@@ -363,6 +373,8 @@
 			r.LimitSeq, err = d.UInt64()
 		case "limits":
 			r.Limits, err = decodeRunLimits(d)
+		case "holder-loads":
+			r.Holders, err = decodeHolderNews(d)
 		case "map":
 			err = r.decodeMap(d)
 		default:
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -29,6 +29,8 @@
 	invalidLimits   prometheus.Counter
 	pauseSeconds    *prometheus.CounterVec // by service
 	leavingUse      prometheus.Histogram
+	holderRefusals  *prometheus.CounterVec // by service, reason
+	holderReports   prometheus.Counter
 
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
 	refreshGauges        func(now time.Time)
@@ -41,6 +43,8 @@
 	upstreams            *prometheus.GaugeVec // by service, state
 	leavingByAnswer      *prometheus.GaugeVec // by service
 	limited              *prometheus.GaugeVec // by service
+	fullHolders          *prometheus.GaugeVec // by service
+	hotKeys              *prometheus.GaugeVec // by service
 	memory               *prometheus.GaugeVec // by of: how it is counted
 	memoryLimit          prometheus.Gauge
 	bodies               *prometheus.GaugeVec // by of: the kind of bodies
@@ -143,6 +147,7 @@
 	})
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.cutResponses, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
+	m.registerHolders()
 	m.registry.MustRegister(m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
 	return m
 }
@@ -194,6 +199,7 @@
 	for service, n := range r.upstreams.LimitedUpstreams() {
 		m.limited.WithLabelValues(serviceLabel(service)).Set(float64(n))
 	}
+	r.updateHolderGauges(now)
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
 			m.upstreams.WithLabelValues(serviceLabel(service), string(state)).Set(float64(n))
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -88,6 +88,10 @@
 	// leave, and the limits. The leader answers a report with either at once.
 	Leaving []balance.Run
 	Limits  []balance.RunLimit
+	// HolderLoads are loads that holders have stated to the sender. The leader answers a
+	// report with Urgent, which was sent because a holder is full, at once.
+	HolderLoads []toldLoad
+	Urgent      bool
 }
 
 // reply is the leader's answer to a report.
@@ -117,6 +121,7 @@
 	Source           []byte // encoded configuration; empty if the instance has it
 	Evacuated        []fleet.ZoneID
 	OperatorRevision fleet.Revision
+	Holders          holderNews
 }
 
 // collectReport returns a report of what was observed since the last one.
@@ -124,8 +129,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rep := r.emptyReport(now)
-	rep.Keys = r.requestedKeys
-	r.requestedKeys = make(map[fleet.ServiceID][]keyspace.Key)
+	r.addHolderReport(now, &rep)
 	if now.Sub(r.demandReportedAt) >= time.Duration(demandIntervalShare*float64(longPollWait(len(r.instances)))) {
 		rep.Demand, r.demandReportedAt = r.accounts.divided.Demand(now), now
 		r.reportedDemand = rep.Demand
@@ -163,6 +167,10 @@
 		runs := r.upstreams.RunsLeaving()
 		next := maps.Clone(reportedLimits)
 		rep.Limits = r.ownLimits(now, next)
+		if r.holderLoads.takeUrgent() {
+			rep.Urgent = true
+			r.addHolderReport(now, &rep)
+		}
 		r.mu.Unlock()
 		maps.DeleteFunc(reported, func(run balance.Run, _ bool) bool { return !slices.Contains(runs, run) })
 		for _, run := range runs {
@@ -170,7 +178,7 @@
 				rep.Leaving = append(rep.Leaving, run)
 			}
 		}
-		if len(rep.Leaving)+len(rep.Limits) > 0 {
+		if len(rep.Leaving)+len(rep.Limits) > 0 || rep.Urgent {
 			if err := r.sendNews(ctx, info.addr, rep); err != nil {
 				r.log.Debug("reporting news of upstreams failed", "leader", info.id, "error", err)
 				sleep(ctx, storeRetryDelay)
@@ -323,6 +331,7 @@
 		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, repliedAt.Add(-rp.OperatorAge))
 	}
 	fromStore := r.listFromStore
+	r.applyHolderNews(repliedAt, rp.Holders)
 	r.mu.Unlock()
 	r.applyOperator(repliedAt, rp)
 	defer r.mergeLimits(now, rp.Limits, "leader") // after the upstreams are listed
@@ -400,7 +409,7 @@
 	case l.reports <- rep:
 	case <-l.stop:
 	}
-	if len(rep.Leaving)+len(rep.Limits) == 0 && !r.hasUpdate(l, rep) {
+	if len(rep.Leaving)+len(rep.Limits) == 0 && !rep.Urgent && !r.hasUpdate(l, rep) {
 		t := time.NewTimer(r.currentLongPollWait())
 		select {
 		case <-changed:
@@ -470,6 +479,7 @@
 		rep.LimitSeq = 0
 	}
 	rp.Limits, rp.LimitSeq = r.limitsSince(now, rep.LimitSeq)
+	rp.Holders = r.holderNews(now)
 	return rp
 }
 
@@ -498,6 +508,7 @@
 		for id, s := range rep.ServiceTimes {
 			r.upstreams.LearnSamples(now, id, s)
 		}
+		r.holderLoads.merge(now, rep.HolderLoads)
 	}
 	for id, s := range rep.ServiceTimes {
 		r.upstreams.CountAnswers(now, id, s)
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -75,6 +75,7 @@
 	retryBudgets     map[fleet.ServiceID]*balance.RetryBudget
 	splitter         *routes.Splitter
 	instances        []fleet.Peer
+	holderLoads      holderLoads
 	evacuatedSince   map[fleet.ZoneID]time.Time // the earliest time at which the evacuation of a zone may have begun
 	holderMapUpdated chan struct{}              // closed when holderMap changes
 
@@ -139,6 +140,7 @@
 	}
 	r.stopping, r.cancelStopping = context.WithCancel(context.Background())
 	r.splitter = routes.NewSplitter(r.rng)
+	r.holderLoads = newHolderLoads(r.rng)
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
 	r.accounts.request, r.accounts.logFailure = r.requestToken, r.logAccountHomeFailure
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -262,6 +262,7 @@
 	lastJoined time.Time          // when a new candidate was last listed
 	lastDecay  time.Time          // when keyLoad was last decayed
 	keyLoad    *LoadCounter
+	hotKeys    []KeyShare
 	surgeSince time.Time // when some load began to rise suddenly; zero if none does
 
 	hold         time.Duration // validity that grants are to request
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -64,6 +64,7 @@
 		if balanceByLoad {
 			co.rebalance(now, s, load)
 		}
+		s.hotKeys = s.findHotKeys(load)
 	}
 }
 
--- a/internal/keyspace/plan_test.go
+++ b/internal/keyspace/plan_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -119,3 +122,19 @@
 		}
 	}
 }
+
+// Guards against shares that refuse requests for the other keys of a holder, or that admit
+// more than it serves.
+func TestHottestKeysAreReduced(t *testing.T) {
+	keys := []keyLoad{{1, 2}, {2, 200}, {3, 40}, {4, 1}}
+	got, admitted := reduceHottest(slices.Clone(keys), 23), 3.0
+	for _, share := range got {
+		admitted += share.Share * keys[share.Key-1].rate
+	}
+	if diff := cmp.Diff([]KeyShare{{2, 0.05}, {3, 0.25}}, got); diff != "" || admitted != 23 {
+		t.Errorf("%s; %v requests/s admitted, want 23", diff, admitted)
+	}
+	if got := reduceHottest(keys, 250); got != nil {
+		t.Errorf("shares %v of keys that fit", got)
+	}
+}
