keyspace: whole shards move where that levels the load

Cause: each move to level the load split a shard, and each shard is renewed by a call of its own twice a second.

Change: a shard that has about the wanted rate moves as a whole, except to an upstream without keys, which may be one that has failed. Above three shards for each upstream, none are split to level the load; surges still split them.

--- a/internal/keyspace/balance.go
+++ b/internal/keyspace/balance.go
@@ -36,6 +36,12 @@
 	// upstreamsPerPart is the number of upstreams for each part into which the keys of a
 	// surge are divided.
 	upstreamsPerPart = 2
+	// minWholeShare is the share of the wanted rate from which on a whole shard moves rather
+	// than a part of one, and maxShardsPerUpstream the mean number of shards from which on
+	// only whole ones move to level the load. Each shard is renewed by a call of its own
+	// twice a second.
+	minWholeShare        = 0.4
+	maxShardsPerUpstream = 3
 	// minImbalanceToEmpty replaces minBusyUtilisation and minImbalance if the least
 	// utilised upstream has no keys.
 	minImbalanceToEmpty = 0.05
@@ -238,29 +244,53 @@
 	}
 }
 
-// moveEnd moves a part at an end of a shard between two upstreams, chosen so that both end
-// up with about the same utilisation. It reports whether it found a suitable part.
+// moveEnd moves a shard, or a part at an end of one, between two upstreams, chosen so that
+// both end up with about the same utilisation. It reports whether it found a suitable part.
 func (b *balancing) moveEnd(from, to Upstream) bool {
 	wantedRate := (b.utilisation(from) - b.utilisation(to)) / (1/from.plannedCapacity() + 1/to.plannedCapacity())
 	var best *shard
-	bestRate := 0.0
 	var bestSpan Span
+	bestRate := 0.0
+	_, holds := b.load[to.ID]
+	if holds { // else it may be one that has failed, which gets as few keys as possible
+		best, bestSpan, bestRate = b.wholeShard(from, wantedRate)
+	}
+	if best == nil && (!holds || len(b.s.shards) < maxShardsPerUpstream*len(b.candidates)) {
+		best, bestSpan, bestRate = b.endOfShard(from, wantedRate)
+	}
+	if best == nil || bestRate < wantedRate/8 {
+		return false
+	}
+	b.move(best, bestSpan, from, to, bestRate, "load")
+	return true
+}
+
+// wholeShard returns the shard of an upstream whose rate is nearest to the wanted one, if
+// there is one with about that rate. Moving it creates no further shard.
+func (b *balancing) wholeShard(from Upstream, wantedRate float64) (best *shard, span Span, rate float64) {
+	for _, sh := range b.byHolder[from.ID] {
+		r := b.s.keyLoad.Rate(sh.Span)
+		if !sh.surging && r >= wantedRate*minWholeShare && r <= wantedRate*1.1 && r > rate {
+			best, span, rate = sh, sh.Span, r
+		}
+	}
+	return best, span, rate
+}
+
+// endOfShard returns the part at an end of a shard with about the wanted rate.
+func (b *balancing) endOfShard(from Upstream, wantedRate float64) (best *shard, span Span, rate float64) {
 	for _, sh := range b.byHolder[from.ID] {
 		if sh.surging {
 			continue // spreadOverload divides it
 		}
 		for _, takeEnd := range []func(Span, float64) (Span, float64, bool){b.s.keyLoad.Prefix, b.s.keyLoad.Suffix} {
-			span, rate, ok := takeEnd(sh.Span, wantedRate*1.1)
-			if ok && (rate > bestRate*1.1 || rate > bestRate*0.9 && keyCount(span) < keyCount(bestSpan)) {
-				best, bestRate, bestSpan = sh, rate, span
+			part, r, ok := takeEnd(sh.Span, wantedRate*1.1)
+			if ok && (r > rate*1.1 || r > rate*0.9 && keyCount(part) < keyCount(span)) {
+				best, span, rate = sh, part, r
 			}
 		}
 	}
-	if best == nil || bestRate < wantedRate/8 {
-		return false
-	}
-	b.move(best, bestSpan, from, to, bestRate, "load")
-	return true
+	return best, span, rate
 }
 
 // moveHotKey moves the busiest key of an upstream to the candidate whose utilisation is
