Merge full and hot holders

Reports and replies carry the loads of holders beside the learned limits and the admitted shares. Tests of internal/direct, keyspace, balance and admission pass.

--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -170,6 +170,11 @@
 	}
 	encodeRunLimits(&e, r.Limits)
 	encodeAdmissionReport(&e, r.Admission)
+	encodeToldLoads(&e, "holder-loads", r.HolderLoads)
+	if r.Urgent {
+		e.FieldStart("urgent")
+		e.Bool(true)
+	}
 	e.FieldStart("keys")
 	e.ObjStart()
 	for id, keys := range r.Keys {
@@ -227,6 +232,10 @@
 			r.Limits, err = decodeRunLimits(d)
 		case "admission":
 			r.Admission, err = decodeAdmissionReport(d)
+		case "holder-loads":
+			r.HolderLoads, err = decodeToldLoads(d)
+		case "urgent":
+			r.Urgent, err = d.Bool()
 		case "speeds":
 			r.ServiceTimes, err = decodeServiceTimes(d)
 		case "curves":
@@ -292,6 +301,7 @@
 	encodeRunLimits(&e, r.Limits)
 	encodeShares(&e, r.Admission)
 	encodeInFlight(&e, r.InFlight)
+	r.Holders.encode(&e)
 	if r.MapVersion.Seq > 0 {
 		e.FieldStart("map")
 		r.encodeMap(&e)
@@ -383,6 +393,8 @@
 			r.InFlight.Limits, err = decodeInFlight(d)
 		case "in-flight-seq":
 			r.InFlight.Seq, err = d.UInt64()
+		case "holder-loads":
+			r.Holders, err = decodeHolderNews(d)
 		case "map":
 			err = r.decodeMap(d)
 		default:
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -78,6 +78,7 @@
 	splitter         *routes.Splitter
 	admission        *admissionState
 	instances        []fleet.Peer
+	holderLoads      holderLoads
 	evacuatedSince   map[fleet.ZoneID]time.Time // the earliest time at which the evacuation of a zone may have begun
 	holderMapUpdated chan struct{}              // closed when holderMap changes
 
@@ -148,6 +149,7 @@
 	r.stopping, r.cancelStopping = context.WithCancel(context.Background())
 	r.splitter = routes.NewSplitter(r.rng)
 	r.admission = &admissionState{gate: admission.NewGate(now, r.rng), retries: make(map[string]*admission.Retries)}
+	r.holderLoads = newHolderLoads(r.rng)
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
 	r.accounts.questions.send, r.accounts.logFailure = r.askAccountHome, r.logAccountHomeFailure
