--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -112,6 +112,7 @@
 	if a.verdict == balance.Answered {
 		r.noteResponse(x, run, a.response)
 	}
+	r.noteHolderLoad(now, x, a)
 	x.attempts = append(x.attempts, formatAttempt(a, now.Sub(sentAt)))
 	r.mu.Unlock()
 	if noAnswer {
--- a/internal/direct/holders_model_test.go
+++ b/internal/direct/holders_model_test.go
@@ -16,6 +16,8 @@
 
 const modelService fleet.ServiceID = "lookups"
 
+const wavePeriod = 15 * time.Second
+
 var modelStart = time.Unix(1_700_000_000, 0)
 
 // modelBurst is a temporary load: a share of the requests goes to neighbouring keys.
@@ -31,12 +33,14 @@
 	instances, upstreams, slots, queue int
 	speeds                             []float64
 	rate                               float64 // requests/s
+	wave                               float64 // share by which the rate rises and falls within wavePeriod
 	work                               time.Duration
 	target, timeout                    time.Duration
 	report                             time.Duration // interval of the reports of an instance
 	until                              time.Duration
 	bursts                             []modelBurst
 	seed                               uint64
+	sendAlways                         bool // senders ignore the load of holders
 	noise                              bool // slow requests and noisy neighbours
 }
 
@@ -118,6 +122,9 @@
 	waiting []func() // requests that wait for another map
 }
 
+// modelMessages counts the bytes that loads of holders and keys add to messages.
+type modelMessages struct{ reports, replies int }
+
 type modelEvent struct {
 	at  time.Duration
 	seq int
@@ -160,6 +167,7 @@
 	keysMoved []int
 	moves     []int
 	maxShards int
+	messages  modelMessages
 }
 
 func newHoldersModel(cfg modelConfig) *holdersModel {
@@ -192,6 +200,7 @@
 
 func (m *holdersModel) newModelRouter(id fleet.InstanceID, list []balance.Registration) *Router {
 	r := &Router{cfg: Settings{Instance: id}, rng: rand.New(rand.NewPCG(m.cfg.seed, uint64(len(m.instances))+2))}
+	r.holderLoads = newHolderLoads(r.rng)
 	r.upstreams = balance.New(id, r.rng, func(fleet.ServiceID) (time.Duration, fleet.PerSecond) { return 0, 0 })
 	r.upstreams.Replace(modelStart, list)
 	return r
@@ -227,7 +236,8 @@
 }
 
 func (m *holdersModel) arrive() {
-	m.after(time.Duration(m.rng.ExpFloat64()/m.cfg.rate*float64(time.Second)), m.arrive)
+	rate := m.cfg.rate * (1 + m.cfg.wave*math.Sin(2*math.Pi*m.now.Seconds()/wavePeriod.Seconds()))
+	m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), m.arrive)
 	x := &modelRequest{key: m.pickKey(), calledAt: m.now, deadline: m.now + 4*time.Second, phase: m.phase(m.now)}
 	m.phases[x.phase].requests++
 	m.receive(x)
@@ -265,6 +275,14 @@
 		return
 	}
 	e := in.router.upstreams.Get(id)
+	if verdict, wait := m.senderDecides(x, e); verdict != sendToHolder {
+		if verdict == longQueue {
+			m.reportEarly(in)
+		}
+		m.refuse(x, wait)
+		return
+	}
+	in.router.holderLoads.sent(e)
 	in.router.upstreams.Started(m.wall(), e)
 	x.upstream, x.sentAt = m.upstreams[id], m.now
 	m.after(time.Millisecond, func() { m.reach(x) })
@@ -316,8 +334,9 @@
 		u.queue = append(u.queue, x)
 	default:
 		c.fullRefusals++
+		m.reportEarly(x.instance)
 		m.answered(x, balance.Full, u.load(m))
-		m.refuse(x, retryAfterFull)
+		m.refuse(x, m.fullRetryAfter(x))
 	}
 }
 
@@ -378,11 +397,23 @@
 	r := x.instance.router
 	e := r.upstreams.Get(x.upstream.id)
 	r.upstreams.Ended(m.wall(), e, v, m.now-x.sentAt, load)
+	r.holderLoads.note(m.wall(), e, load)
+}
+
+// reportEarly sends the report of an instance that has seen a full holder, unless it has
+// just sent one.
+func (m *holdersModel) reportEarly(in *modelInstance) {
+	if in.router.holderLoads.noteFull(m.wall()) {
+		m.report(in)
+	}
 }
 
 // sendReport sends the report of an instance at regular intervals.
 func (m *holdersModel) sendReport(in *modelInstance) {
-	m.after(m.cfg.report, func() { m.sendReport(in) })
+	m.after(m.cfg.report, func() { // the reply is held for a wait
+		m.applyLoads(in)
+		m.sendReport(in)
+	})
 	m.report(in)
 }
 
@@ -391,8 +422,11 @@
 	keys := in.keys
 	in.keys = nil
 	samples := in.router.upstreams.TakeSamples(func(fleet.ServiceID) bool { return true })
+	loads := in.router.holderLoads.takeNews(m.wall())
+	m.messages.reports += len(report{HolderLoads: loads, Keys: map[fleet.ServiceID][]keyspace.Key{modelService: keys}}.encode()) - len(report{}.encode())
 	m.after(2*time.Millisecond, func() {
 		now := m.wall()
+		m.leader.holderLoads.merge(now, loads)
 		if lc := m.co.LoadCounter(modelService); lc != nil {
 			for _, k := range keys {
 				lc.Add(k)
@@ -406,6 +440,38 @@
 	})
 }
 
+// applyLoads tells an instance what the leader knows of the holders.
+func (m *holdersModel) applyLoads(in *modelInstance) {
+	now := m.wall()
+	loads := m.leader.holderLoads.long(now, m.leader.holderCapacity(now))
+	hotKeys := m.co.HotKeys()
+	m.messages.replies += len(reply{Holders: holderNews{Loads: loads, HotKeys: hotKeys}}.encode()) - len(reply{}.encode())
+	in.router.holderLoads.merge(now, loads)
+	in.router.holderLoads.setHotKeys(now, 0, hotKeys)
+}
+
+// senderDecides decides as the instance of x whether it sends x to e.
+func (m *holdersModel) senderDecides(x *modelRequest, e *balance.Entry) (holderVerdict, time.Duration) {
+	if m.cfg.sendAlways {
+		return sendToHolder, 0
+	}
+	r, now := x.instance.router, m.wall()
+	q := holderRequest{
+		service: modelService, key: x.key, target: m.cfg.target, receivedAt: modelStart.Add(x.receiveAt),
+		deadline: modelStart.Add(min(x.deadline, x.receiveAt+m.cfg.timeout)), repeated: x.sentAt > x.receiveAt,
+	}
+	return r.holderLoads.decide(now, q, e, r.upstreams.Capacity(now, e), seconds(r.upstreams.ServiceTime(now, e)))
+}
+
+// fullRetryAfter returns the retry delay of a request that its holder has refused.
+func (m *holdersModel) fullRetryAfter(x *modelRequest) time.Duration {
+	if m.cfg.sendAlways {
+		return retryAfterFull
+	}
+	r, now := x.instance.router, m.wall()
+	return r.holderLoads.roomIn(now, r.upstreams.Get(x.upstream.id), r.upstreams.Capacity(now, r.upstreams.Get(x.upstream.id)), m.cfg.target)
+}
+
 func (m *holdersModel) plan() {
 	m.after(planInterval, m.plan)
 	now := m.wall()
