admission, direct: a sharded service is short of capacity by its holders only

Change: only holders are targets there; requests beyond the share of a hot key do not count as demand; less urgent requests accept shorter queues at holders (routes.Table.QueueShare). Priorities are those of the routes to a service.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -41,16 +41,15 @@
 	c.seeds, c.seededAt = maps.Clone(inForce), now
 }
 
-// Add adds counts of a target. sharded states that its service is sharded.
-func (c *Controller) Add(now time.Time, t Target, sharded bool, counts Counts) {
+// Add adds counts of a target. A sharded service is no target as a whole: one hot key makes a
+// holder reject requests while the other holders have capacity, and a share of all requests
+// would refuse those for them.
+func (c *Controller) Add(now time.Time, t Target, counts Counts) {
 	l := c.levels[t]
 	if l == nil {
 		l = &level{meter: meter{halfLife: serviceHalfLife}, trust: trustService}
-		switch {
-		case t.Holder != "":
+		if t.Holder != "" {
 			l.meter.halfLife, l.trust = holderHalfLife, trustHolder
-		case sharded:
-			l.trust = trustSharded
 		}
 		if c.single {
 			l.meter.halfLife = ownHalfLife
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -177,7 +177,9 @@
 		return
 	}
 	for id, c := range g.unsettled {
-		g.own.Add(now, Target{Service: id}, c.sharded, c.Counts)
+		if !c.sharded {
+			g.own.Add(now, Target{Service: id}, c.Counts)
+		}
 	}
 	clear(g.unsettled)
 	g.own.Step(now, func(Target) float64 { return 0 })
--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -121,9 +121,6 @@
 	// trustService is for services whose requests any upstream can serve: if these reject
 	// many, all are busy, and the estimate is too high.
 	trustService trust = 0.6
-	// trustSharded is for sharded services, where single holders reject requests while the
-	// service has spare capacity.
-	trustSharded trust = 0.9
 	trustHolder  trust = 0.75
 )
 
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -214,7 +214,7 @@
 			in.rates[p] += (n/rep.For.Seconds() - in.rates[p]) / 2
 		}
 		m.after(m.delay, func() {
-			m.leader.Add(m.now, Target{Service: "s"}, false, rep.Services["s"])
+			m.leader.Add(m.now, Target{Service: "s"}, rep.Services["s"])
 			shares := m.leader.Shares()
 			m.after(m.delay, func() {
 				in.shares = shares
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -40,7 +40,7 @@
 // admitByPriority counts x and decides whether its service, and the holder of its key, have
 // the capacity to serve it. If not, it returns the refusal and false.
 func (r *Router) admitByPriority(now time.Time, x *exchange) (outcome, bool) {
-	if len(x.table.Priorities()) < 2 {
+	if len(x.table.Priorities(x.service.ID)) < 2 {
 		return outcome{}, true
 	}
 	priority := routes.PriorityOf(x.route, x.account)
@@ -128,7 +128,7 @@
 // observeAdmission adds a report to what the leader knows of the demand and the shortages.
 func (r *Router) observeAdmission(now time.Time, l *leadership, rep report) {
 	op := r.operatorState.Load()
-	if op == nil || op.Table == nil || len(op.Table.Priorities()) < 2 {
+	if op == nil || op.Table == nil || !op.Table.HasPriorities() {
 		return
 	}
 	r.mu.Lock()
@@ -139,15 +139,17 @@
 		part = maxCountedTime.Seconds() / rep.Admission.For.Seconds()
 	}
 	for id, counts := range rep.Admission.Services {
-		c.Add(now, admission.Target{Service: id}, op.Table.Services[id].Sharded, counts.Times(part))
+		if !op.Table.Services[id].Sharded {
+			c.Add(now, admission.Target{Service: id}, counts.Times(part))
+		}
 	}
 	for t, requests := range rep.Admission.Holders {
-		c.Add(now, t, true, admission.Counts{Requests: requests.Times(part)})
+		c.Add(now, t, admission.Counts{Requests: requests.Times(part)})
 	}
 	for id, s := range rep.ServiceTimes {
 		if e := r.upstreams.Get(id); e != nil && op.Table.Services[e.Service].Sharded {
 			evidence := admission.Evidence{Answered: float64(s.Unqueued + s.Queued), Rejected: float64(s.Lost)}
-			c.Add(now, admission.Target{Service: e.Service, Holder: id}, true, admission.Counts{Evidence: evidence})
+			c.Add(now, admission.Target{Service: e.Service, Holder: id}, admission.Counts{Evidence: evidence})
 		}
 	}
 }
@@ -177,7 +179,7 @@
 func (r *Router) stepAdmission(now time.Time, l *leadership) {
 	op := r.operatorState.Load()
 	r.mu.Lock()
-	if op == nil || op.Table == nil || len(op.Table.Priorities()) < 2 {
+	if op == nil || op.Table == nil || !op.Table.HasPriorities() {
 		l.admission, l.shares = nil, nil
 		r.learnAdmission(now, now, nil)
 		r.mu.Unlock()
@@ -264,7 +266,7 @@
 			m.shortHolders.WithLabelValues(serviceLabel(t.Service)).Inc()
 			continue
 		}
-		for _, p := range op.Table.Priorities() {
+		for _, p := range op.Table.Priorities(t.Service) {
 			m.share.WithLabelValues(serviceLabel(t.Service), strconv.Itoa(int(p))).Set(byPriority.Of(p))
 		}
 	}
--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -17,6 +17,9 @@
 	if !x.info.HasRoutingKey {
 		return refuse(http.StatusBadRequest, "no-routing-key", 0)
 	}
+	if out, refused := r.refuseHotKey(time.Now(), x); refused {
+		return out
+	}
 	if out, ok := r.admitByPriority(time.Now(), x); !ok {
 		return out
 	}
--- a/internal/direct/holderload.go
+++ b/internal/direct/holderload.go
@@ -162,11 +162,10 @@
 
 // holderRequest is a request for a key, as far as the decision to send it needs it.
 type holderRequest struct {
-	service              fleet.ServiceID
-	key                  keyspace.Key
 	receivedAt, deadline time.Time
 	target               time.Duration // latency of the route
 	repeated             bool          // it has been sent before
+	queueShare           float64       // of the longest queue, by its priority
 }
 
 // holderVerdict is the decision whether a request is sent to the holder of its key.
@@ -196,9 +195,6 @@
 // decide decides whether a request is sent to the holder of its key, and returns the retry
 // delay if it is not. serviceTime is the usual one of e.
 func (h *holderLoads) decide(now time.Time, q holderRequest, e *balance.Entry, capacity balance.Capacity, serviceTime time.Duration) (holderVerdict, time.Duration) {
-	if !q.repeated && !h.admitKey(now, q) {
-		return keyTooHot, hotKeyRetryDelay + h.spread(hotKeyRetryDelay)
-	}
 	wait := h.wait(now, e, capacity)
 	needed := wait + serviceTime
 	if wait == 0 && !q.repeated {
@@ -212,7 +208,7 @@
 	}
 	// A request whose work alone takes longer than the target, or that has waited for its
 	// key to move, may still wait for half of the service time.
-	longest := max(q.target-now.Sub(q.receivedAt)-serviceTime, serviceTime/2)
+	longest := time.Duration(q.queueShare * float64(max(q.target-now.Sub(q.receivedAt)-serviceTime, serviceTime/2)))
 	jittered := time.Duration(float64(wait) * (1 - waitJitter/2 + waitJitter*h.rng.Float64()))
 	if jittered <= longest {
 		return sendToHolder, 0
@@ -239,11 +235,11 @@
 
 // admitKey reports whether a request for a key is within the share that its holder can
 // serve. Of the requests for one key, those that are admitted are evenly distributed.
-func (h *holderLoads) admitKey(now time.Time, q holderRequest) bool {
+func (h *holderLoads) admitKey(now time.Time, id fleet.ServiceID, key keyspace.Key) bool {
 	if now.Sub(h.hotKeysAt) > hotKeysTTL {
 		return true
 	}
-	k := h.hotKeys[q.service][q.key]
+	k := h.hotKeys[id][key]
 	if k == nil {
 		return true
 	}
--- a/internal/direct/holderload_test.go
+++ b/internal/direct/holderload_test.go
@@ -28,7 +28,7 @@
 
 // keyRequest returns a request that arrives at now with the given time until its deadline.
 func keyRequest(now time.Time, left time.Duration) holderRequest {
-	return holderRequest{service: "s", key: 7, receivedAt: now, deadline: now.Add(left), target: time.Second}
+	return holderRequest{receivedAt: now, deadline: now.Add(left), target: time.Second, queueShare: 1}
 }
 
 // Guards against requests that are sent into a queue that is known to be full, and against
@@ -113,15 +113,14 @@
 		for range requests {
 			// Each reply of the leader replaces the shares.
 			h.setHotKeys(now, 0, map[fleet.ServiceID][]keyspace.KeyShare{"s": {{Key: 7, Share: 0.1}}})
-			q := keyRequest(now, time.Second)
-			if verdict, _ := h.decide(now, q, loadedHolder, holderRate, holderTime); verdict == sendToHolder {
+			if h.admitKey(now, "s", 7) {
 				admitted++
 			}
-			if q.key = 8; !h.admitKey(now, q) {
+			if !h.admitKey(now, "s", 8) {
 				t.Fatal("another key was refused")
 			}
 		}
-		if late := now.Add(hotKeysTTL + time.Millisecond); !h.admitKey(late, keyRequest(late, time.Second)) {
+		if late := now.Add(hotKeysTTL + time.Millisecond); !h.admitKey(late, "s", 7) {
 			t.Fatal("a share without news of the leader was used")
 		}
 	}
@@ -171,6 +170,24 @@
 	}
 }
 
+// Guards against urgent requests that find the queue of their holder filled by less urgent
+// ones.
+func TestLessUrgentRequestsAcceptShorterQueues(t *testing.T) {
+	now := time.Now()
+	sent := map[float64]bool{}
+	for _, share := range []float64{1, 0.5} {
+		h := testHolderLoads()
+		h.note(now, loadedHolder, &balance.Load{Running: 4, Waiting: 9, Slots: 4, Slowdown: 1})
+		q := keyRequest(now, 3*time.Second)
+		q.queueShare = share
+		verdict, _ := h.decide(now, q, loadedHolder, holderRate, holderTime)
+		sent[share] = verdict == sendToHolder
+	}
+	if diff := cmp.Diff(map[float64]bool{1: true, 0.5: false}, sent); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // BenchmarkHolderDecision measures the decision to send one request to the holder of its
 // key, with all of 231 holders queued and 32 hot keys.
 func BenchmarkHolderDecision(b *testing.B) {
@@ -193,8 +210,9 @@
 	}
 	for i := 0; b.Loop(); i++ {
 		e := r.upstreams.Get(list[i%len(list)].ID)
-		q := keyRequest(now, 3*time.Second)
-		q.key = keyspace.Key(i % 1000)
-		r.holderLoads.decide(now, q, e, r.upstreams.Capacity(now, e), seconds(r.upstreams.ServiceTime(now, e)))
+		if !r.holderLoads.admitKey(now, "s", keyspace.Key(i%1000)) {
+			continue
+		}
+		r.holderLoads.decide(now, keyRequest(now, 3*time.Second), e, r.upstreams.Capacity(now, e), seconds(r.upstreams.ServiceTime(now, e)))
 	}
 }
--- a/internal/direct/holders.go
+++ b/internal/direct/holders.go
@@ -6,6 +6,7 @@
 
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -25,12 +26,26 @@
 	}
 }
 
+// refuseHotKey refuses x if its key is too hot for its holder and x is beyond the share of
+// the requests that the holder serves. It returns false if x is to be sent. Such requests do
+// not count as demand for the holder, whose other keys have room.
+func (r *Router) refuseHotKey(now time.Time, x *exchange) (outcome, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.holderLoads.admitKey(now, x.service.ID, x.info.RoutingKey) {
+		return outcome{}, false
+	}
+	r.metrics.holderRefusals.WithLabelValues(serviceLabel(x.service.ID), keyTooHot.reason()).Inc()
+	return refuse(http.StatusServiceUnavailable, keyTooHot.reason(), hotKeyRetryDelay+r.holderLoads.spread(hotKeyRetryDelay)), true
+}
+
 // refuseForLoad refuses x if its holder is known to be too full to answer it in time, or if
 // its time is too short. It returns false if x is to be sent.
 func (r *Router) refuseForLoad(now time.Time, x *exchange, upstream *balance.Entry) (outcome, bool) {
 	q := holderRequest{
-		service: x.service.ID, key: x.info.RoutingKey, receivedAt: x.receivedAt, deadline: x.deadline,
+		receivedAt: x.receivedAt, deadline: x.deadline,
 		target: x.route.Target, repeated: x.arrivals > 0,
+		queueShare: x.table.QueueShare(x.service.ID, routes.PriorityOf(x.route, x.account)),
 	}
 	r.mu.Lock()
 	verdict, retryAfter := r.holderLoads.decide(now, q, upstream, r.upstreams.Capacity(now, upstream), seconds(r.upstreams.ServiceTime(now, upstream)))
--- a/internal/direct/holders_model_test.go
+++ b/internal/direct/holders_model_test.go
@@ -456,8 +456,11 @@
 		return sendToHolder, 0
 	}
 	r, now := x.instance.router, m.wall()
+	if x.sentAt <= x.receiveAt && !r.holderLoads.admitKey(now, modelService, x.key) {
+		return keyTooHot, hotKeyRetryDelay + r.holderLoads.spread(hotKeyRetryDelay)
+	}
 	q := holderRequest{
-		service: modelService, key: x.key, target: m.cfg.target, receivedAt: modelStart.Add(x.receiveAt),
+		target: m.cfg.target, queueShare: 1, receivedAt: modelStart.Add(x.receiveAt),
 		deadline: modelStart.Add(min(x.deadline, x.receiveAt+m.cfg.timeout)), repeated: x.sentAt > x.receiveAt,
 	}
 	return r.holderLoads.decide(now, q, e, r.upstreams.Capacity(now, e), seconds(r.upstreams.ServiceTime(now, e)))
--- a/internal/direct/holders_refusal_test.go
+++ b/internal/direct/holders_refusal_test.go
@@ -23,6 +23,7 @@
 
 func keyExchange(now time.Time) *exchange {
 	return &exchange{
+		table:      &routes.Table{},
 		receivedAt: now, deadline: now.Add(3 * time.Second), route: &routes.Route{Target: 400 * time.Millisecond},
 		service: routes.Service{ID: "s", Sharded: true}, info: RequestMetadata{HasRoutingKey: true, RoutingKey: 7},
 	}
@@ -86,7 +87,7 @@
 	}
 	hot := keyExchange(now)
 	hot.info.RoutingKey = 9
-	if out, refused := other.refuseForLoad(now, hot, holder); !refused || out.reason != keyTooHot.reason() {
+	if out, refused := other.refuseHotKey(now, hot); !refused || out.reason != keyTooHot.reason() {
 		t.Errorf("refused %t for %q of a hot key", refused, out.reason)
 	}
 	later := now.Add(hotKeysTTL + time.Second)
@@ -96,5 +97,8 @@
 		if out, refused := other.refuseForLoad(later, x, holder); refused {
 			t.Errorf("key %d refused for %q 3 s after the last reply", key, out.reason)
 		}
+		if _, refused := other.refuseHotKey(later, x); refused {
+			t.Errorf("key %d counts as hot 3 s after the last reply", key)
+		}
 	}
 }
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -31,7 +31,7 @@
 	accountByKey map[fleet.CallerKeyHash]fleet.AccountID
 
 	longestTargets map[fleet.ServiceID]time.Duration
-	priorities     []Priority
+	priorities     map[fleet.ServiceID][]Priority
 }
 
 // Service is a group of upstreams.
