direct: an answer of a home decides at once on all requests of its question

Cause: a request that an answer did not admit was decided in the next round, when a refusal of a few milliseconds could have ended, so that it was asked again instead of refused.

--- a/internal/direct/questions.go
+++ b/internal/direct/questions.go
@@ -77,7 +77,7 @@
 	for {
 		now := time.Now()
 		r.mu.Lock()
-		waiting := l.decideWaiting(now, r, key)
+		waiting := l.decideWaiting(now, r, key, l.questions.waiting[key])
 		if len(waiting) == 0 {
 			delete(l.questions.asking, key)
 			delete(l.questions.waiting, key)
@@ -105,10 +105,9 @@
 	}
 }
 
-// decideWaiting decides on the claims that wait for a question, as far as the last answer
-// covers them, and returns the others. The caller must hold mu.
-func (l *limiter[K]) decideWaiting(now time.Time, r *Router, key K) []waitingClaim[K] {
-	waiting := l.questions.waiting[key]
+// decideWaiting decides on waiting claims, as far as the last answer covers them, and returns
+// the others. The caller must hold mu.
+func (l *limiter[K]) decideWaiting(now time.Time, r *Router, key K, waiting []waitingClaim[K]) []waitingClaim[K] {
 	for len(waiting) > 0 {
 		d, known := l.questions.asker.Decide(now, key)
 		if !known {
@@ -122,15 +121,15 @@
 }
 
 // ask sends a question about the waiting claims to a home, and returns those that the answer
-// does not admit and whether there was an answer.
+// does not decide, and whether there was an answer.
 func (l *limiter[K]) ask(r *Router, home fleet.Peer, key K, waiting []waitingClaim[K]) ([]waitingClaim[K], bool) {
 	limit := waiting[len(waiting)-1].claim.limit
 	sentAt := time.Now()
 	r.mu.Lock()
 	if home.ID == r.cfg.Instance {
+		defer r.mu.Unlock()
 		g := l.askSelf(sentAt, r, key, limit, len(waiting))
-		r.mu.Unlock()
-		return admitFirst(r, waiting, g.Admitted), true
+		return l.decideWaiting(sentAt, r, key, admitFirst(r, waiting, g.Admitted)), true
 	}
 	q := l.questions.asker.Question(sentAt, key, home.ID, len(waiting))
 	r.mu.Unlock()
@@ -149,9 +148,10 @@
 	}
 	l.questions.asker.Answered(now, sentAt, key, home.ID, q, g)
 	l.fallback.CountedByHome(now, key, limit)
+	waiting = l.decideWaiting(now, r, key, admitFirst(r, waiting, g.Admitted))
 	r.mu.Unlock()
 	r.metrics.homeQuestions.WithLabelValues(grantLabel(q, g)).Inc()
-	return admitFirst(r, waiting, g.Admitted), true
+	return waiting, true
 }
 
 // admitFirst admits the first n of the waiting claims and returns the others.
