http1: a response is read while a long request body is written

Transport.Do wrote the whole request before it read the response. An upstream that answered without reading a long body, and kept the connection, held its request until the deadline; one that closed the connection made a truthful refusal a lost request.

Bodies of more than 16 KiB are now written in pieces by a goroutine of their own. An early response is returned at once. After a successful one the rest of the body (up to 1 MiB) is written before the connection is used again; after another one the connection is closed. If writing fails, a response that has arrived is used. A peer that takes no byte for 5 s loses the request, and at most 8 MiB of such bodies are under way to an address, beside one larger body.

TestEarlyResponse, TestResponseBeforeReset, TestResetInBody, TestWriteStall and TestBodiesUnderWay pass with -race.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -122,6 +122,9 @@
 	// FirstOnConn states that no other response arrived on the connection before this one,
 	// so that it cannot belong to an earlier request. Only Transport sets it.
 	FirstOnConn bool
+	// Early states that the response began to arrive before the request had been written.
+	// Only Transport sets it.
+	Early bool
 }
 
 // NotSentError reports a request of which no byte was written.
--- a/internal/http1/stream.go
+++ b/internal/http1/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -20,7 +19,8 @@
 	conn      *persistentConn
 	response  *Response
 	body      io.Reader
-	reusable  bool // the connection may be used again after the body
+	writer    *bodyWriter // of the request's body; nil if that has been written
+	reusable  bool        // the connection may be used again after the body
 
 	mu    sync.Mutex
 	stop  func() bool // ends the effect of the request's context
@@ -59,12 +59,12 @@
 	}
 	s.ended = true
 	keep := s.stop() && complete && s.reusable && s.conn.reader.Buffered() == 0
-	switch {
-	case !complete:
+	if !complete {
+		s.writer.abandon()
 		s.conn.reset()
-	case !keep || !s.transport.putIdle(s.addr, s.conn, s.response, time.Now()):
-		_ = s.conn.conn.Close()
+		return
 	}
+	s.transport.settle(s.addr, s.conn, s.response, s.writer, keep)
 }
 
 // attach makes the stream end with ctx. It returns false if ctx has ended.
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -25,8 +24,12 @@
 type Transport struct {
 	cfg TransportConfig
 
-	mu   sync.Mutex
-	idle map[string][]*persistentConn // most recently used last
+	rests *BodyBudget // of the rests of bodies that are written after their responses
+
+	mu            sync.Mutex
+	idle          map[string][]*persistentConn // most recently used last
+	underWay      map[string]underWay          // by address
+	underWayTotal int64                        // bytes, to all addresses
 }
 
 // TransportConfig configures a Transport.
@@ -52,6 +55,9 @@
 	// it fails, because the other connections may be dead as well. It suits peers that
 	// respond quickly.
 	CloseIdleOnError bool
+	// WriteStallTimeout is how long a peer may take no byte of a body of more than 16 KiB; 0
+	// means 5 s. The request then counts as lost.
+	WriteStallTimeout time.Duration
 }
 
 // keepAliveMargin is subtracted from the timeout in a peer's Keep-Alive header, so
@@ -94,7 +100,9 @@
 
 // NewTransport returns a transport without open connections.
 func NewTransport(cfg TransportConfig) *Transport {
-	return &Transport{cfg: cfg, idle: make(map[string][]*persistentConn)}
+	return &Transport{
+		cfg: cfg, rests: NewBodyBudget(maxRests), idle: make(map[string][]*persistentConn), underWay: make(map[string]underWay),
+	}
 }
 
 // AttemptGroup makes the attempts of one request use different connections. A response
@@ -166,6 +174,8 @@
 	expires time.Time
 	// answered states that a response, other than an interim one, has arrived.
 	answered bool
+	// boundedSend states that the send buffer has sendBufferSize.
+	boundedSend bool
 }
 
 // readBufferSize is the size in bytes of a connection's read buffer. It is also the bound
@@ -230,10 +240,20 @@
 // true for; a nil accept accepts every response. accept is called before the body is
 // read. The error is a *NotSentError or a *LostError. If ctx ends first, the connection
 // is closed; a streamed body counts as part of the response in this.
+//
+// A response may arrive before a body of more than 16 KiB has been written, or writing may
+// fail because the peer has responded and closed the connection. The response is returned
+// nevertheless. The connection is then used again only if the rest of the body has been
+// written. The memory of the body is not used after Do, or after the end of a stream.
 func (t *Transport) Do(ctx context.Context, addr string, req *Request, accept func(*Response) bool) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &NotSentError{Addr: addr, Err: err}
 	}
+	share, err := t.reserve(addr, req.bodySize())
+	if err != nil {
+		return nil, &NotSentError{Addr: addr, Err: err}
+	}
+	defer share.drop()
 	for {
 		pc, reused, err := t.acquire(ctx, addr, req.Attempts)
 		if err != nil {
@@ -248,48 +268,78 @@
 			}
 		}
 		req.Attempts.add(pc)
-		stop := context.AfterFunc(ctx, func() { _ = pc.conn.SetDeadline(time.Unix(1, 0)) })
-		n, err := writeRequest(pc.conn, addr, req)
-		if err != nil {
-			stop()
-			pc.reset()
-			if n > 0 {
-				return nil, &LostError{Addr: addr, Err: err}
-			}
-			if reused && ctx.Err() == nil {
-				continue // the peer has closed the idle connection
-			}
-			return nil, &NotSentError{Addr: addr, Err: err}
+		res, err := t.roundTrip(ctx, addr, pc, req, share, accept)
+		if _, notSent := err.(*NotSentError); notSent && reused && ctx.Err() == nil {
+			continue // the peer has closed the idle connection
 		}
-		res, keep, err := pc.readResponse(req, t.cfg, accept)
-		stopped := stop()
-		if err == nil && res.Stream != nil {
-			if stopped && res.Stream.attach(ctx, t, addr) {
-				return res, nil
-			}
-			pc.reset()
-			return nil, &LostError{Addr: addr, Err: ctx.Err()}
+		return res, err
+	}
+}
+
+// roundTrip sends req on pc and returns the response. It keeps or closes pc.
+func (t *Transport) roundTrip(ctx context.Context, addr string, pc *persistentConn, req *Request, share *bodyShare, accept func(*Response) bool) (*Response, error) {
+	w := newBodyWriter(pc, req, share, t.cfg.WriteStallTimeout)
+	stop := cancelWith(ctx, pc.conn, w)
+	n, err := writeStart(pc.conn, addr, req, req.bodySize())
+	switch {
+	case err != nil && n == 0:
+		stop()
+		pc.reset()
+		return nil, &NotSentError{Addr: addr, Err: err}
+	case err != nil && ctx.Err() == nil: // the peer may have responded before it closed the connection
+		if w == nil {
+			w = &bodyWriter{conn: pc.conn}
 		}
-		if !stopped || err != nil || req.CloseAfter {
-			keep = false
+		w.finish(err)
+	case err == nil && w != nil:
+		share.holders.Add(1)
+		go w.run()
+	}
+	if w != nil {
+		accept = w.accepting(accept)
+	}
+	res, keep, err := pc.readResponse(req, t.cfg, accept)
+	stopped := stop()
+	if err == nil && res.Stream != nil {
+		res.Stream.writer = w
+		if stopped && res.Stream.attach(ctx, t, addr) {
+			return res, nil
 		}
-		if ctx.Err() != nil {
-			pc.reset()
-		} else if !keep || !t.putIdle(addr, pc, res, time.Now()) {
-			_ = pc.conn.Close()
+		w.abandon()
+		pc.reset()
+		return nil, &LostError{Addr: addr, Err: ctx.Err()}
+	}
+	switch {
+	case ctx.Err() != nil || err != nil && w != nil:
+		if ctx.Err() != nil && err != nil {
+			err = ctx.Err()
+		} else if failure := w.failure(); failure != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			err = failure
 		}
-		if err != nil {
-			if t.cfg.CloseIdleOnError {
-				t.CloseIdle(addr)
-			}
-			if ctx.Err() != nil {
-				err = ctx.Err()
-			}
-			return nil, &LostError{Addr: addr, Err: err}
+		w.abandon()
+		pc.reset()
+	case err != nil:
+		_ = pc.conn.Close()
+	default:
+		t.settle(addr, pc, res, w, keep && stopped && !req.CloseAfter)
+	}
+	if err != nil {
+		if t.cfg.CloseIdleOnError {
+			t.CloseIdle(addr)
 		}
-		req.Attempts.hold(t.cfg.Bodies, int64(cap(res.Body)))
-		return res, nil
+		return nil, &LostError{Addr: addr, Err: err}
 	}
+	req.Attempts.hold(t.cfg.Bodies, int64(cap(res.Body)))
+	return res, nil
+}
+
+// cancelWith makes the end of ctx end reading from conn, and writing to it also by w, until
+// the returned function is called.
+func cancelWith(ctx context.Context, conn net.Conn, w *bodyWriter) (stop func() bool) {
+	if w != nil {
+		return context.AfterFunc(ctx, w.cancel)
+	}
+	return context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 }
 
 // acquire returns a usable idle connection to addr that no attempt of g has used (reused
@@ -423,54 +473,6 @@
 	_ = pc.conn.Close()
 }
 
-// maxJoinedBody is the size in bytes up to which a body is copied behind its head, so that
-// both go out in one write.
-const maxJoinedBody = 16 << 10
-
-// writeRequest writes req without a copy of a large body, and returns the number of bytes
-// that were written.
-func writeRequest(w io.Writer, addr string, req *Request) (int64, error) {
-	chunks := req.Chunks
-	if len(req.Body) > 0 {
-		chunks = [][]byte{req.Body}
-	}
-	size := 0
-	for _, chunk := range chunks {
-		size += len(chunk)
-	}
-	head := encodeHead(addr, req, size)
-	if size > maxJoinedBody {
-		parts := append(make(net.Buffers, 0, len(chunks)+1), head) // WriteTo changes the slice
-		parts = append(parts, chunks...)
-		return parts.WriteTo(w)
-	}
-	for _, chunk := range chunks {
-		head = append(head, chunk...)
-	}
-	n, err := w.Write(head)
-	return int64(n), err
-}
-
-// encodeHead returns the head of req, whose body has bodySize bytes. The slice has room for
-// a body that is joined to it.
-func encodeHead(addr string, req *Request, bodySize int) []byte {
-	var b bytes.Buffer
-	host := req.Host
-	if host == "" {
-		host = addr
-	}
-	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + host + "\r\n")
-	_ = req.Header.Write(&b) // writes to a bytes.Buffer do not fail
-	if bodySize > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(bodySize) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	if bodySize <= maxJoinedBody {
-		b.Grow(bodySize)
-	}
-	return b.Bytes()
-}
-
 // readHead reads the head of a response.
 func (pc *persistentConn) readHead(method string) (*http.Response, error) {
 	pc.source.inHead, pc.source.left = true, maxHeadSize
