direct, platform: a refusal counts from its head on, an upload runs once

An upstream that refuses an upload without reading its body often closes the connection, which may cut off the body of the refusal. The refusal counted as a lost request then, and the caller got 502 in place of another attempt. The head with the statement is enough: its body is not passed on.

A request that is not sent because of the bodies under way to its upstream goes to another one or is refused at once; the upstream does not count as full or unreachable. Metrics count early answers, stalls and bodies held back.

--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -79,11 +79,15 @@
 		},
 		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
+	var refusal *http1.Response
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
 		metadata := r.platform.Protocol.ParseResponse(res.Status, res.Header)
 		if !mayAnswer(metadata.ID, x.info.ID, res.FirstOnConn) {
 			return false
 		}
+		if metadata.NotRun {
+			refusal = res
+		}
 		if metadata.Leaving { // holds even if the rest of the response is lost
 			r.noteLeaving(time.Now(), upstream, x.info.ID, "answer")
 		}
@@ -91,6 +95,10 @@
 		r.noteLimit(time.Now(), sentAt, upstream, metadata.Limit, !metadata.NotRun, x.info.ID, "answer")
 		return true
 	})
+	r.metrics.countBodyWrite(a.response, a.err)
+	if a.err != nil && refusal != nil {
+		a.response, a.err = refusal, nil // its body is not needed
+	}
 	now := time.Now()
 	if a.err == nil {
 		a.metadata = r.platform.Protocol.ParseResponse(a.response.Status, a.response.Header)
@@ -258,7 +266,7 @@
 		return balance.Abandoned
 	case expired && took < minConnectTime && errors.As(a.err, &notSent):
 		return balance.Abandoned
-	case errors.Is(a.err, errNotAllowed), errors.Is(a.err, errStopping), errors.Is(a.err, errRequestEnded):
+	case errors.Is(a.err, errNotAllowed), errors.Is(a.err, errStopping), errors.Is(a.err, errRequestEnded), errors.Is(a.err, http1.ErrBodiesUnderWay):
 		return balance.Abandoned
 	case errors.Is(a.err, http1.ErrConnRejected):
 		return balance.Full
--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -70,7 +70,7 @@
 	var notSent *http1.NotSentError
 	retry := false
 	switch {
-	case errors.Is(a.err, http1.ErrConnRejected):
+	case errors.Is(a.err, http1.ErrConnRejected), errors.Is(a.err, http1.ErrBodiesUnderWay):
 		return refuse(http.StatusServiceUnavailable, "holder-full", retryAfterFull), true
 	case errors.Is(a.err, errStopping):
 		return refuse(http.StatusServiceUnavailable, "instance-stops", retryAfterFull), true
--- a/internal/direct/memory.go
+++ b/internal/direct/memory.go
@@ -165,6 +165,9 @@
 	m.memoryLimit.Set(float64(r.cfg.MaxMemory))
 	m.bodies.WithLabelValues("responses").Set(float64(load.responseBodies))
 	m.bodies.WithLabelValues("requests").Set(float64(load.requestBodies))
+	if r.platform.UpstreamTransport != nil {
+		m.bodies.WithLabelValues("under-way").Set(float64(r.platform.UpstreamTransport.BytesUnderWay()))
+	}
 	m.callerConns.Set(float64(load.callerConns))
 	m.requestsInProgress.Set(float64(load.requests))
 }
