--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -81,7 +81,7 @@
 	var notSent *http1.NotSentError
 	retry := false
 	switch {
-	case errors.Is(a.err, http1.ErrConnRejected):
+	case errors.Is(a.err, http1.ErrConnRejected), errors.Is(a.err, http1.ErrBodiesUnderWay):
 		return refuse(http.StatusServiceUnavailable, "holder-full", r.holderRetryDelay(time.Now(), x, a.upstream)), true
 	case errors.Is(a.err, errStopping):
 		return refuse(http.StatusServiceUnavailable, "instance-stops", retryAfterFull), true
