--- a/Makefile
+++ b/Makefile
@@ -11,17 +11,18 @@
 FAILED_SEEDS = 42 49 15110287390869551635
 GENERATED = ./internal/assignment ./internal/dispatch ./internal/limit ./internal/platform
 
-# Everything: unit tests, generated sequences, fuzz corpora, scenarios, soak, model.
-# The scenarios and the soak run alone, because their processes miss deadlines when
-# other tests take all cores.
+# Everything: unit tests, generated sequences, fuzz corpora, scenarios, soak, hostile
+# clients, model. The scenarios, the soak and the hostile clients run alone, because their
+# processes miss deadlines when other tests take all cores.
 test: export RAPID_SEED = 1
 test: model
-	go test -race -timeout 10m $$(go list ./... | grep -v -e /scenarios -e /soak)
+	go test -race -timeout 10m $$(go list ./... | grep -v -e /scenarios -e /soak -e /hostile)
 	for seed in $(FAILED_SEEDS); do \
 		RAPID_SEED=$$seed go test ./internal/limit -run '^TestWindowBound$$' || exit 1; \
 	done
 	go test -timeout 15m ./scenarios
 	go test -timeout 10m -parallel 2 ./soak
+	go test -timeout 20m ./hostile
 
 # Generated sequences and random faults on real processes, with other seeds than those
 # of "make test".
