http1: limits, progress and eviction of a server's callers

Callers could hold descriptors and memory without a bound that follows from the process: a stopped head or body lasted until the read timeout, responses that were not read were bounded by the number of connections only, and thousands of fields took many times their bytes.

Limits of heads, bodies, heads' time and idle time can change while connections are open. A head that is late gets 408, a body below a minimum rate is reported to the handler. With a full budget of connections, requests in progress or bodies, the connections that made no progress for longest lose theirs, weighted by their address and owner. A request can be refused by its head, before its body; its fields are not parsed then. Fields count in the budgets. A transport bounds its idle connections in all. All of it is off unless a ServerConfig or TransportConfig sets it, but for the cost of fields and the eviction by MaxConns and the budgets.

--- a/internal/http1/expiry.go
+++ b/internal/http1/expiry.go
@@ -61,14 +61,21 @@
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	if n > 0 {
 		c.receivedAt = time.Now()
+		c.progress.add(c.receivedAt, n)
 	}
 	switch {
 	case c.closing, err != nil && !timedOut, err == nil && c.expired == "":
 		return err
+	case n == 0 && c.refusable():
+		c.incomplete, c.expired = c.expired, ""
+		if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+			return err
+		}
+		return errIncomplete
 	case n == 0 && c.expired != "":
 		c.setClosing(c.expired, true)
 		return err
 	}
-	c.expired = ""
+	c.clearExpiry()
 	return c.Conn.SetReadDeadline(time.Time{})
 }
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -35,6 +35,8 @@
 	prevDone      <-chan struct{} // closed when the previous response has been written
 	done          chan struct{}   // closed when this response has been written
 	waitBeforeRun bool            // the request runs only after prevDone is closed
+	counted       bool            // in Server.requests
+	owner         string          // in whose share the request counts, beside that of its address
 
 	responseStarted bool // the response is being written; guarded by Server.mu
 }
@@ -75,12 +77,19 @@
 	if pipe.rejecting || pipe.conn.closing {
 		return
 	}
+	counted := false
 	if b := pipe.conn.received; b != nil {
 		pipe.conn.received = nil
+		if counted = !b.refused; counted && b.err == nil && s.full(time.Now(), pipe.conn) {
+			b.fail(ErrTooManyRequests)
+		}
 		r.Body, r.ContentLength = b, b.length()
-		r.Close = r.Close || b.err != nil // the end of the body is not known
+		r.Close = r.Close || b.err != nil && !b.complete // the end of the body is not known
 	}
 	slot := pipe.addSlot()
+	if counted {
+		s.countRequest(slot)
+	}
 	pipe.pending = slot
 	pipe.http10 = pipe.http10 || !r.ProtoAtLeast(1, 1)
 	pipe.rejecting = r.Close // no request may follow one that asks to close the connection
@@ -99,16 +108,13 @@
 	}
 	p.newest = slot
 	p.inFlight++
-	if p.conn.expired != "" { // closeIdle ran after the last read
-		p.conn.expired = ""
-		_ = p.conn.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
-	}
+	p.conn.clearExpiry() // closeIdle ran after the last read
 	return slot
 }
 
 // refuse answers a request whose head is not accepted with an empty response of the given
 // status, after the responses to the requests in flight, and makes the connection close.
-func (c *serverConn) refuse(status int) {
+func (c *serverConn) refuse(status int, cause CloseCause) {
 	s := c.server
 	s.mu.Lock()
 	if c.closing || c.pipeline.rejecting {
@@ -116,7 +122,7 @@
 		return
 	}
 	c.pipeline.rejecting = true
-	c.setClosing(ClosedInvalid, false)
+	c.setClosing(cause, false)
 	slot := c.pipeline.addSlot()
 	s.mu.Unlock()
 	retryAfter := ""
@@ -142,6 +148,7 @@
 	s.mu.Lock()
 	pipe := slot.pipeline
 	pipe.inFlight--
+	s.uncountRequest(slot)
 	if pipe.writing == slot {
 		pipe.writing = nil
 	}
--- a/internal/http1/requestbody.go
+++ b/internal/http1/requestbody.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -27,6 +28,7 @@
 var (
 	ErrRequestBodyTooLarge = errors.New("request exceeds the maximum body size")
 	ErrRequestBodyBudget   = errors.New("request bodies exceed the memory budget of the process")
+	ErrRequestBodySlow     = errors.New("request body arrives too slowly")
 	errMalformedChunk      = errors.New("malformed chunked encoding")
 )
 
@@ -36,6 +38,15 @@
 	chunks [][]byte // each is filled up to its capacity before the next one is added
 	err    error    // why the body is incomplete; its request must not run
 
+	// complete states that the end of the body has been read, so that another request can
+	// follow it.
+	complete bool
+	// refused states that ServerConfig.CheckHead has refused the request.
+	refused bool
+	// awaitRoom makes room in the budgets at the cost of slower senders, and reports whether
+	// condition holds then. It may be nil.
+	awaitRoom func(condition func() bool) bool
+
 	small, large           *BodyBudget
 	takenSmall, takenLarge int64
 	size                   int64 // bytes taken: the capacity of all chunks, and a large head
@@ -97,8 +108,12 @@
 	b.err = err
 }
 
-// take takes n bytes from the budgets.
+// take takes n bytes from the budgets. If they have no room, slower senders lose theirs.
 func (b *requestBody) take(n int64) bool {
+	return b.tryTake(n) || b.awaitRoom != nil && b.awaitRoom(func() bool { return b.tryTake(n) })
+}
+
+func (b *requestBody) tryTake(n int64) bool {
 	switch {
 	case b.size+n <= smallBodySize && b.small != nil && b.small.reserve(n):
 		b.takenSmall += n
@@ -111,6 +126,30 @@
 	return true
 }
 
+// takeFields takes the memory of n fields of a head from the budgets.
+func (b *requestBody) takeFields(n int) bool {
+	return n <= freeFields || b.take(int64(n-freeFields)*fieldMemory)
+}
+
+// fits reports whether the budget has room for a body of n bytes, slower senders aside.
+func (b *requestBody) fits(n int64) bool {
+	hasRoom := func() bool { return b.large == nil || n <= b.large.left() }
+	return hasRoom() || n <= b.large.size && b.awaitRoom != nil && b.awaitRoom(hasRoom)
+}
+
+// skip refuses a body by the head of its request. A body that has arrived is dropped, so that
+// the connection can be kept.
+func (b *requestBody) skip(r *bufio.Reader, head requestHead) error {
+	if !head.chunked && head.length <= int64(r.Buffered()) {
+		if _, err := r.Discard(int(head.length)); err != nil {
+			return err
+		}
+		b.complete = true
+	}
+	b.fail(ErrRequestRefused)
+	return nil
+}
+
 // receive reads n bytes from r. expected is the number of bytes that are known to follow,
 // these included, or -1. An error is one of r; if the budgets have no room, b fails.
 func (b *requestBody) receive(r io.Reader, n, expected int64) error {
--- a/internal/http1/requesthead.go
+++ b/internal/http1/requesthead.go
@@ -15,11 +15,16 @@
 	// headMemoryFactor is the memory that a head takes for each of its bytes, in its buffer,
 	// which grows by copying, and in the header of the request.
 	headMemoryFactor = 4
+	// fieldMemory is the memory in bytes that a field takes in headers, however short it is:
+	// its entry in the map of the request and in that of the request to an upstream, with
+	// their values. Those of freeFields, more than most requests have, do not count.
+	fieldMemory = 512
+	freeFields  = 32
 )
 
 var (
 	errNotHTTP        = errors.New("bytes that are not HTTP")
-	errRequestHead    = errors.Errorf("request head exceeds %d bytes", maxRequestHead)
+	errRequestHead    = errors.New("request head exceeds its limit")
 	errHeadBudget     = errors.New("request heads exceed the memory budget of the process")
 	errInvalidRequest = errors.New("malformed request head")
 )
@@ -29,20 +34,22 @@
 type requestHead struct {
 	raw            []byte
 	length         int64 // of the body in bytes
+	fields         int
 	chunked        bool
 	expectContinue bool
 }
 
 // readHead reads the bytes of a request head into buf, up to and including its empty line.
 // The memory of what exceeds the read buffer of a connection is taken from the budgets of b.
-func readHead(r *bufio.Reader, buf []byte, b *requestBody) ([]byte, error) {
+// maxHead is in bytes.
+func readHead(r *bufio.Reader, buf []byte, b *requestBody, maxHead int) ([]byte, error) {
 	if err := skipEmptyLine(r); err != nil {
 		return nil, err
 	}
 	lineStart, budgeted := true, serverReadBufferSize
 	for {
 		part, err := r.ReadSlice('\n')
-		if len(buf)+len(part) > maxRequestHead {
+		if len(buf)+len(part) > maxHead {
 			return nil, errRequestHead
 		}
 		if size := len(buf) + len(part); size > budgeted {
@@ -122,6 +129,7 @@
 		if len(name) == len(text) || !isToken(name) { // also a folded line
 			return requestHead{}, errors.Wrap(errInvalidRequest, "field name")
 		}
+		h.fields++
 		value = bytes.Trim(value, " \t")
 		switch {
 		case isField(name, "Host"):
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -29,8 +29,21 @@
 	// SmallBodies takes the first 64 KiB of each request as long as it has room, so that small
 	// requests are received while large ones use up Bodies. It may be nil.
 	SmallBodies *BodyBudget
+	// Limits bounds requests and idle connections beside MaxBody and ReadTimeout, until
+	// SetLimits replaces it.
+	Limits Limits
+	// MinRate is the rate in bytes per second at which a request body has to arrive and a
+	// response to be read; 0 means that any progress suffices.
+	MinRate int
+	// MaxRequests bounds the requests in progress on all connections; 0 means that there is no
+	// bound. RequestBody returns ErrTooManyRequests for one above it.
+	MaxRequests int
+	// CheckHead is called before the body of a request is received. It may be nil. If it
+	// refuses the request, RequestBody returns ErrRequestRefused.
+	CheckHead func(h RequestHead) HeadVerdict
 	// OnClosed is called after a connection has closed, with the number of its requests
-	// whose handlers had not returned. It may be nil.
+	// whose handlers had not returned, and for a new connection that was refused. It may be
+	// nil.
 	OnClosed func(cause CloseCause, requests int)
 }
 
@@ -46,6 +59,12 @@
 	ClosedUnread   CloseCause = "write-timeout" // the peer did not read its response
 	ClosedAborted  CloseCause = "aborted"       // a response could not be completed
 	ClosedInvalid  CloseCause = "malformed"     // bytes that are not HTTP
+	ClosedSlowHead CloseCause = "head-timeout"  // a request head was incomplete for Limits.HeadTimeout
+	ClosedSlowBody CloseCause = "body-timeout"  // a request body arrived too slowly
+	ClosedHeadSize CloseCause = "head-size"     // a request head exceeded Limits.MaxHead
+	ClosedMemory   CloseCause = "memory"        // no memory for a request head
+	ClosedEvicted  CloseCause = "evicted"       // among the slowest when the server had no room for others
+	ClosedFull     CloseCause = "full"          // refused when it was opened, because none could be evicted
 )
 
 const (
@@ -90,13 +109,15 @@
 	// accepted is closed after the last one.
 	finishing atomic.Bool
 	accepted  chan struct{}
-	// readTimeout is the ReadTimeout in force, a time.Duration.
-	readTimeout atomic.Int64
-	stop        chan struct{}
+	limits    atomic.Pointer[Limits] // in force
+	stop      chan struct{}
 
 	mu           sync.Mutex
 	conns        map[*serverConn]struct{}
 	waitingSlots map[*http.Request]*responseSlot // slots of requests that have not started
+	requests     requestCounts
+	evictedAt    [placeCount]time.Time // last searches for connections to evict
+	evicting     int                   // evicted connections that are still open
 }
 
 // exchange is a request in flight and the connection that it arrived on.
@@ -117,7 +138,9 @@
 		cfg: cfg, listener: ln.(*net.TCPListener), stop: make(chan struct{}), accepted: make(chan struct{}),
 		conns: make(map[*serverConn]struct{}), waitingSlots: make(map[*http.Request]*responseSlot),
 	}
-	s.SetReadTimeout(cfg.ReadTimeout)
+	s.requests.byOwner = make(map[string]int)
+	cfg.Limits.IdleTimeout = orDefault(cfg.Limits.IdleTimeout, cfg.ReadTimeout)
+	s.SetLimits(cfg.Limits)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "http1-server", SupportServerOnly: true,
 		ReadLimit:      maxRequestHead,
@@ -172,6 +195,9 @@
 			go c.serve()
 		} else {
 			_ = nc.Close()
+			if s.cfg.OnClosed != nil {
+				s.cfg.OnClosed(ClosedFull, 0)
+			}
 		}
 	}
 }
@@ -187,14 +213,8 @@
 	_ = s.listener.Close()
 }
 
-// SetReadTimeout replaces ServerConfig.ReadTimeout, also for open connections.
-func (s *Server) SetReadTimeout(d time.Duration) { s.readTimeout.Store(int64(d)) }
-
-// ReadTimeout returns the read timeout in force.
-func (s *Server) ReadTimeout() time.Duration { return time.Duration(s.readTimeout.Load()) }
-
-// addConn registers a new connection. It returns nil if the server is stopped or has
-// MaxConns connections.
+// addConn registers a new connection. It returns nil if the server is stopped, or has
+// MaxConns connections of which none can be evicted.
 func (s *Server) addConn(nc net.Conn) *serverConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -203,20 +223,32 @@
 		return nil
 	default:
 	}
-	if len(s.conns) >= s.cfg.MaxConns {
+	now := time.Now()
+	if !s.hasPlace(now) {
 		return nil
 	}
-	c := &serverConn{Conn: nc, server: s, idleSince: time.Now(), inFlight: make(map[*exchange]struct{})}
+	c := &serverConn{Conn: nc, server: s, addr: peerIP(nc), idleSince: now, inFlight: make(map[*exchange]struct{})}
 	c.pipeline.conn, c.slotFinished = c, sync.NewCond(&s.mu)
 	s.conns[c] = struct{}{}
 	return c
 }
 
+// peerIP returns the address of the peer without its port, empty if nc is not TCP.
+func peerIP(nc net.Conn) string {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		return tcp.RemoteAddr().(*net.TCPAddr).IP.String()
+	}
+	return ""
+}
+
 // removeConn unregisters a closed connection and cancels its requests.
 func (s *Server) removeConn(c *serverConn) {
 	s.mu.Lock()
 	delete(s.conns, c)
 	c.closed = true
+	if c.evicted {
+		s.evicting--
+	}
 	c.setClosing(ClosedByPeer, false)
 	requests, cause := len(c.inFlight), c.cause
 	for x := range c.inFlight {
@@ -279,13 +311,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	open := len(s.conns)
+	headTimeout := s.Limits().HeadTimeout
 	for c := range s.conns {
 		if c.discarding(now) {
 			open--
 		}
-		if c.closing || c.expired != "" || len(c.inFlight) > 0 || c.pipeline.inFlight > 0 {
+		if c.closing || c.expired != "" {
+			continue
+		}
+		if late := c.progress.late(now, headTimeout, s.cfg.MinRate); late != "" {
+			c.expire(late)
+			continue
+		}
+		if len(c.inFlight) > 0 || c.pipeline.inFlight > 0 {
 			continue // a request may have arrived whose goroutine has not started or not ended
 		}
+		if cause == ClosedIdle && c.progress.bounded(headTimeout, s.cfg.MinRate) {
+			continue
+		}
 		since := c.idleSince
 		if since.Before(start) {
 			since = start
@@ -294,8 +337,7 @@
 			since = c.receivedAt
 		}
 		if now.Sub(since) >= timeout {
-			c.expired = cause
-			_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read loop; fails only on a closed connection
+			c.expire(cause)
 		}
 	}
 	return open
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,6 +28,9 @@
 type serverConn struct {
 	net.Conn
 	server *Server
+	addr   string // of the peer, without its port
+	// writingSince is when the write in progress began, in ns since 1970; 0 if there is none.
+	writingSince atomic.Int64
 	// interimMu keeps an interim response from being written while a response is.
 	interimMu sync.Mutex
 
@@ -39,6 +43,11 @@
 	refusedBody  bool                   // the rest of a refused body may follow
 	lingerSince  time.Time              // when Close was called first
 	idleSince    time.Time              // when the last request ended; not meaningful while requests are in flight
+	progress     progress               // of the request that is being received
+	owner        string                 // that CheckHead stated last
+	evicted      bool                   // counts in Server.evicting until it is closed
+	aborted      bool                   // was closed by evict
+	incomplete   CloseCause             // why a request is not waited for any longer
 	expired      CloseCause             // why the read loop is to close the connection if it has read nothing; empty: it is not
 	halfClosed   chan struct{}          // made when the peer has closed its sending side, closed when the connection fails after that
 	closing      bool                   // the server has closed the connection or is about to close it
@@ -106,23 +115,39 @@
 			_ = body.Close()
 		}
 	}()
-	raw, err := readHead(r, buf, body)
+	body.awaitRoom = c.awaitRoom
+	if _, err := r.Peek(1); err != nil {
+		return nil, err
+	}
+	c.beginPhase(phaseHead)
+	defer c.beginPhase(phaseNone)
+	raw, err := readHead(r, buf, body, c.server.Limits().MaxHead)
 	switch {
+	case errors.Is(err, errIncomplete):
+		c.refuseIncomplete()
+		return nil, errConnClosing
 	case errors.Is(err, errNotHTTP):
 		c.reject(ClosedInvalid)
 		return nil, errConnClosing
 	case errors.Is(err, errRequestHead):
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge, ClosedHeadSize)
 		return nil, errConnClosing
 	case errors.Is(err, errHeadBudget):
-		c.refuse(http.StatusServiceUnavailable)
+		c.refuse(http.StatusServiceUnavailable, ClosedMemory)
 		return nil, errConnClosing
 	case err != nil:
 		return nil, err
 	}
 	head, err := parseHead(raw)
 	if err != nil {
-		c.refuse(http.StatusBadRequest)
+		c.refuse(http.StatusBadRequest, ClosedInvalid)
+		return nil, errConnClosing
+	}
+	if body.refused = !c.checkHead(head); body.refused {
+		head.trim()
+	}
+	if !body.takeFields(head.fields) {
+		c.refuse(http.StatusServiceUnavailable, ClosedMemory)
 		return nil, errConnClosing
 	}
 	if err := c.readBody(r, head, body); err != nil {
@@ -130,7 +155,7 @@
 	}
 	c.setReceived(body)
 	if err := parser.Parse(head.raw); err != nil {
-		c.refuse(http.StatusBadRequest)
+		c.refuse(http.StatusBadRequest, ClosedInvalid)
 	}
 	body = c.setReceived(nil) // not nil if the request was rejected
 	if c.isClosing() {
@@ -146,32 +171,45 @@
 	defer c.server.mu.Unlock()
 	previous := c.received
 	c.received = b
-	c.refusedBody = c.refusedBody || b != nil && b.err != nil
+	c.refusedBody = c.refusedBody || b != nil && b.err != nil && !b.complete
 	return previous
 }
 
 // readBody reads the body of a request into b. The error is one of the connection; if the
 // body is refused, b contains the reason.
 func (c *serverConn) readBody(r *bufio.Reader, head requestHead, b *requestBody) error {
-	maxBody := int64(c.server.cfg.MaxBody)
+	maxBody := int64(c.server.Limits().MaxBody)
 	switch {
-	case head.chunked:
-	case head.length == 0:
+	case !head.chunked && head.length == 0:
+		if b.complete = true; b.refused {
+			b.fail(ErrRequestRefused)
+		}
 		return nil
-	case head.length > maxBody:
+	case !head.chunked && head.length > maxBody:
 		b.fail(ErrRequestBodyTooLarge)
 		return nil
-	case head.length > smallBodySize && b.large != nil && head.length > b.large.left():
+	case b.refused:
+		return b.skip(r, head)
+	case head.length > smallBodySize && !b.fits(head.length):
 		b.fail(ErrRequestBodyBudget)
 		return nil
 	}
 	if head.expectContinue && r.Buffered() == 0 {
 		c.writeContinue()
 	}
+	c.beginPhase(phaseBody)
+	var err error
 	if head.chunked {
-		return b.receiveChunked(r, maxBody)
+		err = b.receiveChunked(r, maxBody)
+	} else {
+		err = b.receive(r, head.length, head.length)
 	}
-	return b.receive(r, head.length, head.length)
+	if errors.Is(err, errIncomplete) {
+		b.fail(c.incompleteError())
+		return nil
+	}
+	b.complete = err == nil && b.err == nil
+	return err
 }
 
 // writeContinue asks the caller for the body that it has announced. If a request is in
@@ -266,16 +304,22 @@
 	return nil
 }
 
-// Write writes b, and fails once the peer has read nothing for WriteTimeout.
+// Write writes b, and fails once the peer has read nothing, or less than MinRate, for
+// WriteTimeout.
 func (c *serverConn) Write(b []byte) (int, error) {
 	written := 0
+	now := time.Now()
+	c.writingSince.Store(now.UnixNano())
+	defer c.writingSince.Store(0)
+	minProgress := max(1, int(float64(c.server.cfg.MinRate)*c.server.cfg.WriteTimeout.Seconds()))
 	for {
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout)); err != nil {
+		if err := c.Conn.SetWriteDeadline(now.Add(c.server.cfg.WriteTimeout)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(b[written:])
 		written += n
-		if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if n >= minProgress && errors.Is(err, os.ErrDeadlineExceeded) {
+			now = time.Now()
 			continue // the peer reads slowly
 		}
 		if err != nil {
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -25,8 +25,9 @@
 type Transport struct {
 	cfg TransportConfig
 
-	mu   sync.Mutex
-	idle map[string][]*persistentConn // most recently used last
+	mu        sync.Mutex
+	idle      map[string][]*persistentConn // most recently used last
+	idleCount int                          // of all addresses
 }
 
 // TransportConfig configures a Transport.
@@ -35,6 +36,7 @@
 	IdleTimeout    time.Duration // a connection that was idle for longer is not reused
 	MaxBody        int64         // largest response body in bytes
 	MaxIdlePerAddr int           // idle connections kept per address
+	MaxIdle        int           // idle connections kept; 0 means that only MaxIdlePerAddr applies
 	// Bodies bounds the memory of response bodies; it may be shared by several transports.
 	// A body counts until Do returns, or until Release of Request.Attempts. If nil, only
 	// MaxBody applies.
@@ -197,6 +199,7 @@
 	t.mu.Lock()
 	conns := t.idle[addr]
 	delete(t.idle, addr)
+	t.idleCount -= len(conns)
 	t.mu.Unlock()
 	for _, pc := range conns {
 		_ = pc.conn.Close()
@@ -220,6 +223,7 @@
 			delete(t.idle, addr)
 		}
 	}
+	t.idleCount -= len(expired)
 	t.mu.Unlock()
 	for _, pc := range expired {
 		_ = pc.conn.Close()
@@ -349,6 +353,7 @@
 	for i, pc := range slices.Backward(conns) {
 		if !g.used(pc) {
 			t.idle[addr] = slices.Delete(conns, i, i+1)
+			t.idleCount--
 			return pc
 		}
 	}
@@ -373,9 +378,10 @@
 func (t *Transport) putBack(addr string, pc *persistentConn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.idle[addr]) >= t.cfg.MaxIdlePerAddr {
+	if len(t.idle[addr]) >= t.cfg.MaxIdlePerAddr || t.cfg.MaxIdle > 0 && t.idleCount >= t.cfg.MaxIdle {
 		return false
 	}
+	t.idleCount++
 	t.idle[addr] = append(t.idle[addr], pc)
 	return true
 }
