direct: bounds on callers from descriptors, memory and the operators' limits

Only idleTimeout of the operators' limits was read, and for 30 s at least; maxHeaderBytes, maxBodyBytes and headerTimeout are now in force too, with 431, 413 and 408, and the idle timeout applies below 30 s with a margin of 5 s. TestIdleTimeoutFollowsConfiguration demanded the floor of 30 s, which kept the operators' value from taking effect; TestLimitsFollowConfiguration checks all four limits in its place.

Connections, requests in progress and idle connections to upstreams are bounded from limits.maxFds and limits.memoryMb. Bodies at paths without a route or with an unknown key are not received. Closed connections are counted by cause, and logged at most every 10 s.

--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -97,7 +97,7 @@
 	keepServingWithoutLog()
 	metrics := direct.NewMetrics()
 	log := hclog.New(&hclog.LoggerOptions{Level: level, Output: logs.NewWriter(os.Stdout, metrics.LogDropped), JSONFormat: true})
-	upstreamTransport := http1.TransportConfig{DialTimeout: frontDialTimeout, IdleTimeout: frontIdleTimeout, MaxBody: frontMaxResponseBody, MaxIdlePerAddr: frontMaxIdleConns, RejectsExcessConns: true, Bodies: upstreamBodyBudget(cfg.MaxMemory)}
+	upstreamTransport := http1.TransportConfig{DialTimeout: frontDialTimeout, IdleTimeout: frontIdleTimeout, MaxBody: frontMaxResponseBody, MaxIdlePerAddr: frontMaxIdleConns, MaxIdle: direct.MaxIdleUpstreamConns(cfg.MaxDescriptors), RejectsExcessConns: true, Bodies: upstreamBodyBudget(cfg.MaxMemory)}
 	holderTransport := upstreamTransport
 	upstreamTransport.StreamAbove = streamAbove(cfg.LinkRate)
 	holderTransport.MaxBody = frontMaxHolderBody
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -48,8 +48,10 @@
 	Store         string        // address of the store
 	ShutdownGrace time.Duration // time from SIGTERM to SIGKILL
 	MaxMemory     int64         // memory limit in bytes; 0: unknown
-	CPUCores      float64       // CPU cores that the instance may use
-	LinkRate      float64       // bytes per second that its link carries in each direction; 0: unknown
+	// MaxDescriptors is the number of descriptors that the process may have open; 0: unknown.
+	MaxDescriptors int
+	CPUCores       float64 // CPU cores that the instance may use
+	LinkRate       float64 // bytes per second that its link carries in each direction; 0: unknown
 
 	Retry       RetryLimit
 	Quota       QuotaTolerance
@@ -223,6 +225,8 @@
 type Protocol interface {
 	// ParseRequest decodes the headers of a caller's request.
 	ParseRequest(h http.Header) (RequestMetadata, error)
+	// CallerKeyHeader is the name of the header with the key of a caller.
+	CallerKeyHeader() string
 	// UpstreamHeader returns the headers for an upstream: the caller's headers without
 	// the hop-by-hop ones and the caller key, and with those that encode f.
 	UpstreamHeader(h http.Header, f ForwardMetadata) http.Header
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -269,7 +269,7 @@
 	}
 	r.upstreams.Evacuate(now, next.Evacuated)
 	if callers := r.callers.Load(); callers != nil && next.Table != nil {
-		callers.SetReadTimeout(max(serverReadTimeout, next.Table.IdleTimeout))
+		callers.SetLimits(callerLimits(next.Table.Limits))
 	}
 	r.mu.Unlock()
 	if next.Table != nil && (cur == nil || cur.Table == nil || cur.Table.Version != next.Table.Version) {
--- a/internal/direct/memory.go
+++ b/internal/direct/memory.go
@@ -114,7 +114,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			r.noteMemory(now, &watch, memory.read())
+			used := memory.read()
+			r.relieveMemory(now, used)
+			r.noteMemory(now, &watch, used)
 		}
 	}
 }
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -23,6 +23,7 @@
 	keyMoves        *prometheus.CounterVec   // by cause
 	closedConns     *prometheus.CounterVec   // by cause
 	cutResponses    *prometheus.CounterVec   // by side
+	closedProbes    *prometheus.CounterVec   // by cause
 	droppedLogLines prometheus.Counter
 	invalidEntries  *prometheus.CounterVec // by kind
 	invalidPauses   prometheus.Counter
@@ -85,6 +86,9 @@
 			Name: "parsleyproxy_direct_log_lines_dropped_total", Help: "Log lines that were not written, since the output was too slow or the rate too high.",
 		}),
 	}
+	m.closedProbes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyproxy_direct_probe_connections_closed_total", Help: "Closed connections of readiness checks, by cause.",
+	}, []string{"cause"})
 	m.invalidEntries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "parsleyproxy_direct_invalid_entries_total", Help: "Entries in the store that were ignored because they are invalid, counted at each read.",
 	}, []string{"kind"})
@@ -143,7 +147,7 @@
 	})
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.cutResponses, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
-	m.registry.MustRegister(m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
+	m.registry.MustRegister(m.closedProbes, m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
 	return m
 }
 
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// serverReadTimeout is how long a connection may be idle, those of callers at least. The
-	// operators may set a longer idle timeout, of which callers use up to four fifths.
+	// serverReadTimeout is how long a connection may be idle, unless the operators state an
+	// idle timeout for callers.
 	serverReadTimeout = 30 * time.Second
 	// maxRecentMaps bounds the recent holder maps that are kept to compute changes for
 	// replies.
@@ -56,6 +56,8 @@
 	holderMap     atomic.Pointer[keyspace.Map]
 	callers       atomic.Pointer[http1.Server] // nil before Run listens
 
+	closedCallers closedCallers
+
 	stopping       context.Context // ends shortly before requests in progress are cut off
 	cancelStopping context.CancelFunc
 
@@ -167,8 +169,11 @@
 	}
 	r.log.Info("instance started", "instance", r.cfg.Instance, "boot", r.boot, "zone", r.cfg.Zone, "store", r.cfg.Store)
 	bodies, smallBodies := requestBodyBudgets(r.cfg.MaxMemory)
+	shares := descriptorShares(r.cfg.MaxDescriptors, r.cfg.MaxMemory)
 	callers, err := http1.Listen(http1.ServerConfig{
 		Addr: r.cfg.CallerListen, Handler: http.HandlerFunc(r.serve), ReadTimeout: serverReadTimeout,
+		Limits: callerLimits(routes.CallerLimits{}), MinRate: minCallerRate, CheckHead: r.checkHead,
+		MaxConns: shares.callers, MaxRequests: shares.requests,
 		MaxBody: maxCallerBody, Bodies: bodies, SmallBodies: smallBodies, OnClosed: r.callerConnClosed,
 	})
 	if err != nil {
@@ -178,14 +183,14 @@
 	r.callers.Store(callers)
 	probes := http1.NewBodyBudget(maxProbeBodies)
 	servers := []http1.ServerConfig{
-		{Addr: r.cfg.HealthListen, Handler: http.HandlerFunc(r.health), MaxBody: maxProbeBody, MaxConns: maxProbeConns, Bodies: probes},
+		{Addr: r.cfg.HealthListen, Handler: http.HandlerFunc(r.health), MaxBody: maxProbeBody, MaxConns: shares.probes, MaxRequests: maxProbeRequests, Bodies: probes, OnClosed: r.probeConnClosed},
 		{Addr: r.cfg.PeerListen, Handler: http.HandlerFunc(r.servePeer), MaxBody: maxPeerBody, Bodies: http1.NewBodyBudget(maxPeerBodies), SmallBodies: http1.NewBodyBudget(maxSmallPeerBodies)},
 	}
 	if r.cfg.MetricsListen != "" {
-		servers = append(servers, http1.ServerConfig{Addr: r.cfg.MetricsListen, Handler: r.metrics.Handler(), MaxBody: maxProbeBody, MaxConns: maxProbeConns, Bodies: probes})
+		servers = append(servers, http1.ServerConfig{Addr: r.cfg.MetricsListen, Handler: r.metrics.Handler(), MaxBody: maxProbeBody, MaxConns: shares.probes, MaxRequests: maxProbeRequests, Bodies: probes})
 	}
 	for _, cfg := range servers {
-		cfg.ReadTimeout = serverReadTimeout
+		cfg.ReadTimeout, cfg.Limits.HeadTimeout, cfg.MinRate = serverReadTimeout, defaultHeadTimeout, minCallerRate
 		s, err := http1.Listen(cfg)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", cfg.Addr)
@@ -209,7 +214,8 @@
 // had not been answered although the caller did not close it.
 func (r *Router) callerConnClosed(cause http1.CloseCause, requests int) {
 	r.metrics.closedConns.WithLabelValues(string(cause)).Inc()
-	if requests > 0 && cause != http1.ClosedByPeer {
+	r.noteClosedCaller(time.Now(), cause)
+	if requests > 0 && cause != http1.ClosedEvicted && cause != http1.ClosedByPeer {
 		r.log.Warn("caller connection closed before its answers", "cause", string(cause), "requests", requests)
 	}
 }
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -109,12 +109,16 @@
 	if !strings.HasPrefix(x.target, "/") {
 		return refuse(http.StatusBadRequest, "bad-target", 0)
 	}
-	if x.body, err = http1.RequestBody(req); err != nil {
+	x.body, err = http1.RequestBody(req)
+	if err != nil && !errors.Is(err, http1.ErrRequestRefused) {
 		return refuseBody(err)
 	}
 	if refused, ok := r.admit(req.Context(), x); !ok {
 		return refused
 	}
+	if err != nil { // the configuration has changed since the head was checked
+		return refuse(http.StatusServiceUnavailable, "no-configuration", retryAfterNotReady)
+	}
 	x.deadline = x.receivedAt.Add(x.route.Timeout)
 	if x.info.Timeout > 0 && x.info.Timeout < x.route.Timeout {
 		x.deadline = x.receivedAt.Add(x.info.Timeout)
@@ -134,6 +138,10 @@
 	switch {
 	case errors.Is(err, http1.ErrRequestBodyBudget):
 		return refuse(http.StatusServiceUnavailable, "body-memory", retryAfterBodies)
+	case errors.Is(err, http1.ErrTooManyRequests):
+		return refuse(http.StatusServiceUnavailable, "too-many-requests", retryAfterBodies)
+	case errors.Is(err, http1.ErrRequestBodySlow):
+		return refuse(http.StatusRequestTimeout, "body-slow", 0)
 	case errors.Is(err, http1.ErrRequestBodyTooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 	}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -21,8 +21,8 @@
 	Services map[fleet.ServiceID]Service
 	Accounts map[fleet.AccountID]Account
 
-	// IdleTimeout is how long callers may leave a connection idle; 0 if it is not stated.
-	IdleTimeout time.Duration
+	// Limits are those of callers.
+	Limits CallerLimits
 
 	// Problems describes the routes that are served with restrictions.
 	Problems []string
@@ -33,6 +33,14 @@
 	longestTargets map[fleet.ServiceID]time.Duration
 }
 
+// CallerLimits bounds the requests and connections of callers; 0 if a bound is not stated.
+type CallerLimits struct {
+	MaxHead     int           // bytes of a request head
+	MaxBody     int           // bytes of a request body
+	HeadTimeout time.Duration // from the first byte of a head to its end
+	IdleTimeout time.Duration // how long callers may leave a connection idle
+}
+
 // Service is a group of upstreams.
 type Service struct {
 	ID       fleet.ServiceID
