--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -24,6 +24,7 @@
 	closedConns     *prometheus.CounterVec   // by cause
 	cutResponses    *prometheus.CounterVec   // by side
 	bodyWrites      *prometheus.CounterVec   // by cause
+	closedProbes    *prometheus.CounterVec   // by cause
 	droppedLogLines prometheus.Counter
 	invalidEntries  *prometheus.CounterVec // by kind
 	invalidPauses   prometheus.Counter
@@ -97,6 +98,9 @@
 		}),
 	}
 	m.bodyWrites = newBodyWrites()
+	m.closedProbes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyproxy_direct_probe_connections_closed_total", Help: "Closed connections of readiness checks, by cause.",
+	}, []string{"cause"})
 	m.invalidEntries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "parsleyproxy_direct_invalid_entries_total", Help: "Entries in the store that were ignored because they are invalid, counted at each read.",
 	}, []string{"kind"})
@@ -157,7 +161,7 @@
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.cutResponses, m.bodyWrites, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
 	m.registerHolders()
-	m.registry.MustRegister(m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
+	m.registry.MustRegister(m.closedProbes, m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
 	m.admission = newAdmissionMetrics(m.registry)
 	m.otherZoneBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "parsleyproxy_direct_other_zone_bytes_total", Help: "Body bytes of requests and responses that were exchanged with upstreams in other zones.",
