rollout: decisions on a roll-out of a version

Cause: an operator's order moves the traffic of a service to upstreams of a new version, which may be bad. Nothing decides how much it gets.

Change: package rollout.

--- /dev/null
+++ b/internal/rollout/gate.go
@@ -0,0 +1,193 @@
+package rollout
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
+)
+
+// Use says which requests may use an upstream, by its version.
+type Use int
+
+// The uses.
+const (
+	UseOpen  Use = iota // all requests
+	UseTrial            // those that a roll-out sends to the new version
+	UseSpare            // none yet: the share of the new version is carried by others
+	UseNone             // none
+)
+
+// unorderedDelay is the time after which a version that no order names is used: operators
+// may write the order some time after the first upstream has registered.
+const unorderedDelay = 3 * time.Second
+
+// Upstream is an upstream as the gate sees it.
+type Upstream struct {
+	ID      fleet.UpstreamID
+	Service fleet.ServiceID
+	Version fleet.VersionID
+	Usable  bool // neither leaving nor evacuated
+}
+
+// versions are the versions of a service that all requests may use, and since when others
+// have been listed.
+type versions struct {
+	allowed map[fleet.VersionID]bool
+	heldAt  map[fleet.VersionID]time.Time
+}
+
+// Gate is an instance's knowledge of the versions that requests may use.
+type Gate struct {
+	rng        *rand.Rand
+	services   map[fleet.ServiceID]*versions
+	directives map[fleet.ServiceID]Directive
+	heardAt    time.Time // earliest time at which the leader may have made the directives
+	positions  map[fleet.ServiceID]map[string]float64
+}
+
+// NewGate returns a gate that draws from rng.
+func NewGate(rng *rand.Rand) *Gate {
+	return &Gate{
+		rng: rng, services: make(map[fleet.ServiceID]*versions), directives: make(map[fleet.ServiceID]Directive),
+		positions: make(map[fleet.ServiceID]map[string]float64),
+	}
+}
+
+// SetDirectives replaces the directives by those that the leader made at heardAt or later,
+// and reports whether they differ.
+func (g *Gate) SetDirectives(heardAt time.Time, list []Directive) bool {
+	if heardAt.After(g.heardAt) {
+		g.heardAt = heardAt
+	}
+	changed := len(list) != len(g.directives)
+	next := make(map[fleet.ServiceID]Directive, len(list))
+	for _, d := range list {
+		changed = changed || g.directives[d.Service] != d
+		next[d.Service] = d
+	}
+	for id := range g.directives {
+		if _, kept := next[id]; !kept {
+			delete(g.positions, id)
+		}
+	}
+	g.directives = next
+	return changed
+}
+
+// Directive returns the directive of a service, if it has one.
+func (g *Gate) Directive(id fleet.ServiceID) (Directive, bool) {
+	d, known := g.directives[id]
+	return d, known
+}
+
+// MayTry reports whether requests may be sent to the new version of a service now, although
+// its roll-out is not final.
+func (g *Gate) MayTry(now time.Time, id fleet.ServiceID) bool {
+	return g.directives[id].Share > 0 && now.Sub(g.heardAt) < MaxSilence
+}
+
+// Pick reports whether the next request of a route goes to the new version. The requests of
+// a route take successive terms of an additive recurrence, so that the share of few
+// requests is right too; see routes.Splitter.
+func (g *Gate) Pick(now time.Time, id fleet.ServiceID, route string) bool {
+	if !g.MayTry(now, id) {
+		return false
+	}
+	positions := g.positions[id]
+	if positions == nil {
+		positions = make(map[string]float64)
+		g.positions[id] = positions
+	}
+	position, known := positions[route]
+	if !known {
+		position = g.rng.Float64()
+	}
+	_, position = math.Modf(position + 1/math.Phi)
+	positions[route] = position
+	return position < g.directives[id].Share
+}
+
+// Classify returns the upstreams that not all requests may use. confirmedAt is when the
+// operator state with orders was last known to be current.
+func (g *Gate) Classify(now, confirmedAt time.Time, orders map[fleet.ServiceID]Order, list []Upstream) map[fleet.UpstreamID]Use {
+	listed := make(map[fleet.ServiceID]map[fleet.VersionID]bool)
+	for _, u := range list {
+		if listed[u.Service] == nil {
+			listed[u.Service] = make(map[fleet.VersionID]bool)
+		}
+		listed[u.Service][u.Version] = true
+	}
+	for id, found := range listed {
+		g.admitVersions(now, confirmedAt, id, found, orders)
+	}
+	out := make(map[fleet.UpstreamID]Use)
+	trial := make(map[fleet.ServiceID][]fleet.UpstreamID)
+	for _, u := range list {
+		d, directed := g.directives[u.Service]
+		switch {
+		case directed && d.Target == u.Version && d.Final:
+		case directed && d.Target == u.Version:
+			out[u.ID] = UseSpare
+			if d.Share == 0 {
+				out[u.ID] = UseNone
+			} else if u.Usable {
+				trial[u.Service] = append(trial[u.Service], u.ID)
+			}
+		case directed && d.Final, !g.services[u.Service].allowed[u.Version]:
+			out[u.ID] = UseNone
+		}
+	}
+	for id, ids := range trial {
+		for _, upstream := range Subset(ids, g.directives[id].Share) {
+			out[upstream] = UseTrial
+		}
+	}
+	return out
+}
+
+// admitVersions updates the versions of a service that all requests may use. found are those
+// that are listed.
+func (g *Gate) admitVersions(now, confirmedAt time.Time, id fleet.ServiceID, found map[fleet.VersionID]bool, orders map[fleet.ServiceID]Order) {
+	d, directed := g.directives[id]
+	order, ordered := orders[id]
+	named := func(v fleet.VersionID) bool { return directed && d.Target == v || ordered && order.Target == v }
+	s := g.services[id]
+	if s == nil {
+		s = &versions{allowed: make(map[fleet.VersionID]bool), heldAt: make(map[fleet.VersionID]time.Time)}
+		g.services[id] = s
+		for v := range found {
+			if !named(v) || len(found) == 1 && !directed {
+				s.allowed[v] = true
+			}
+		}
+	}
+	s.allowed[""] = true // an upstream without a version belongs to none that an order names
+	if directed && d.Final {
+		clear(s.allowed)
+		s.allowed[""], s.allowed[d.Target] = true, true
+	}
+	for v := range found {
+		if s.allowed[v] {
+			continue
+		}
+		if named(v) {
+			delete(s.heldAt, v)
+			continue
+		}
+		since, held := s.heldAt[v]
+		switch {
+		case !held:
+			s.heldAt[v] = now
+		case confirmedAt.Sub(since) >= unorderedDelay:
+			s.allowed[v] = true
+			delete(s.heldAt, v)
+		}
+	}
+	for v := range s.heldAt {
+		if !found[v] {
+			delete(s.heldAt, v)
+		}
+	}
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -26,6 +26,9 @@
 	UpstreamID string
 	// ServiceID identifies a group of upstreams among which routing keys are divided.
 	ServiceID string
+	// VersionID identifies a version of the software of upstreams; it is empty if an
+	// upstream states none.
+	VersionID string
 	// EntryID identifies a catalogue entry.
 	EntryID string
 	// AccountID identifies a client account.
