direct, platform: roll-outs of versions

Cause: orders of roll-outs (op/rollout/SERVICE) were ignored, and upstreams of a new version got their part of all requests at once.

Change: the leader carries out orders by rollout.Controller, stores record and status conditionally, and sends directives with its replies (field rollouts). Instances choose upstreams by version and report evidence for each route; bad responses are reported at once. In a sharded service the candidates for keys follow the share. Registrations have a version.

--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -106,7 +106,7 @@
 	storeTransport.MaxBody, storeTransport.Bodies = frontMaxStoreBody, http1.NewBodyBudget(frontStoreBodyBudget)
 	external := direct.Platform{
 		Store: platform.NewStore(cfg.Store, http1.NewTransport(storeTransport), metrics.StoreCall), Holders: platform.Holders{Client: http1.NewTransport(holderTransport)},
-		Protocol: platform.Protocol{}, UpstreamTransport: http1.NewTransport(upstreamTransport), DecodeConfiguration: platform.DecodeConfig, ReadSettings: func() (direct.Settings, error) { return platform.ReadSettings(path) },
+		Protocol: platform.Protocol{}, UpstreamTransport: http1.NewTransport(upstreamTransport), DecodeConfiguration: platform.DecodeConfig, RolloutStatus: platform.RolloutStatus, ReadSettings: func() (direct.Settings, error) { return platform.ReadSettings(path) },
 		SettingsSignals: hangup.Received(),
 	}
 	return direct.New(cfg, external, metrics, log).Run(ctx)
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -24,6 +24,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/rollout"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -36,7 +37,8 @@
 	Slots    fleet.Slots
 	Boot     fleet.BootID // identifies one run of the upstream's process
 	Draining bool
-	ColdLeft time.Duration // remaining time in which the upstream is cold; 0 if it is warm
+	Version  fleet.VersionID // of its software; empty if it states none
+	ColdLeft time.Duration   // remaining time in which the upstream is cold; 0 if it is warm
 }
 
 // Load is the load that an upstream reports in an answer.
@@ -101,6 +103,8 @@
 	pausedUntil      time.Time // the upstream wants no requests before
 	saidLeaving      bool      // an answer of this run has said that it leaves
 	limit            rateLimit // that this run names
+	listedSince      time.Time // of this run
+	use              rollout.Use
 	coldUntil        time.Time
 	nextColdRequest  time.Time // earliest time of the next request while cold
 
@@ -212,7 +216,7 @@
 	kind := ""
 	switch {
 	case !known:
-		e, kind = &Entry{lastLearned: now}, "new"
+		e, kind = &Entry{lastLearned: now, listedSince: now}, "new"
 		if d := t.departed[r.ID]; d.boot == r.Boot && d.addr == r.Addr {
 			e.pausedUntil, e.limit = d.pausedUntil, d.limit
 			if d.saidLeaving {
@@ -220,7 +224,7 @@
 			}
 		}
 	case e.Boot != r.Boot || e.Addr != r.Addr:
-		e, kind = &Entry{lastLearned: now}, "restarted"
+		e, kind = &Entry{lastLearned: now, listedSince: now}, "restarted"
 	case !e.Draining && r.Draining:
 		kind = "draining"
 	}
@@ -255,9 +259,12 @@
 // Service returns the entries of a service.
 func (t *Table) Service(id fleet.ServiceID) []*Entry { return t.byService[id] }
 
-// Usable reports whether e may be sent new requests: it is not nil, not leaving and not
-// in an evacuated zone.
-func (t *Table) Usable(e *Entry) bool { return e != nil && !e.Leaving() && !t.evacuated[e.Zone] }
+// Usable reports whether e may be sent new requests: it is in service, and its version may
+// be used by all requests.
+func (t *Table) Usable(e *Entry) bool { return t.InService(e) && e.use == rollout.UseOpen }
+
+// InService reports whether e is not nil, not leaving and not in an evacuated zone.
+func (t *Table) InService(e *Entry) bool { return e != nil && !e.Leaving() && !t.evacuated[e.Zone] }
 
 // Evacuated reports whether zone is evacuated.
 func (t *Table) Evacuated(zone fleet.ZoneID) bool { return t.evacuated[zone] }
@@ -316,6 +323,7 @@
 	Zone    fleet.ZoneID  // of this instance
 	Target  time.Duration // target latency of the route
 	Exclude map[fleet.UpstreamID]bool
+	Use     rollout.Use // of the upstreams to choose from
 }
 
 // Choose returns the upstream with the lowest estimated cost, or nil if there is no
@@ -324,7 +332,7 @@
 	var best *Entry
 	bestCost, reason := 0.0, "no-upstream"
 	for _, e := range t.byService[q.Service] {
-		if !t.Usable(e) || q.Exclude[e.ID] {
+		if e.use != q.Use || !t.InService(e) || q.Exclude[e.ID] {
 			continue
 		}
 		if now.Before(e.ejectedUntil) {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -32,6 +32,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 	"github.com/parsleyproxy/parsleyproxy/internal/quota"
+	"github.com/parsleyproxy/parsleyproxy/internal/rollout"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -53,6 +54,7 @@
 
 	Retry       RetryLimit
 	Quota       QuotaTolerance
+	Rollout     rollout.Bounds
 	LeavingUse  time.Duration // time within which requests to an upstream that starts to leave must stop
 	MaxGrantTTL time.Duration // longest allowed duration of a grant
 	MinLeaseTTL time.Duration // shortest lease that the store accepts
@@ -87,7 +89,10 @@
 	Source    []byte        // the configuration as encoded in the store
 	Evacuated map[fleet.ZoneID]bool
 	Revision  fleet.Revision // revision of the whole store; changes of other keys increase it too
-	Invalid   error          // why the newest stored configuration cannot be decoded; Table is then an older one
+	// Orders are the roll-outs that operators have ordered.
+	Orders        map[fleet.ServiceID]rollout.Order
+	InvalidOrders []error // why orders that were read last cannot be decoded
+	Invalid       error   // why the newest stored configuration cannot be decoded; Table is then an older one
 }
 
 // Tag identifies the operator state. Instances compare tags to detect a difference.
@@ -99,7 +104,7 @@
 	for i, zone := range zones {
 		zones[i] = fleet.ZoneID(url.QueryEscape(string(zone))) // a space would look like the end of the name
 	}
-	return fmt.Sprintf("%d %s", o.Table.Version, zones)
+	return fmt.Sprintf("%d %s", o.Table.Version, zones) + ordersTag(o.Orders)
 }
 
 // sameConfiguration reports whether two tags name the same configuration version.
@@ -246,6 +251,9 @@
 	// DecodeConfiguration decodes OperatorState.Source, which the leader sends to the
 	// other instances.
 	DecodeConfiguration func(source []byte) (*routes.Table, error)
+	// RolloutStatus returns the key and the value with which the store states the status of a
+	// roll-out.
+	RolloutStatus func(rollout.Status) (key string, value []byte)
 	// ReadSettings reads the current settings.
 	ReadSettings func() (Settings, error)
 	// SettingsSignals receives signals on which the settings are read at once; nil: there are
--- a/internal/direct/elect.go
+++ b/internal/direct/elect.go
@@ -186,6 +186,7 @@
 		term: won.term, lease: won.lease, validUntil: won.validUntil, elections: make(chan electionResult, 1),
 		callResults: make(chan callResult, 64), saveResults: make(chan saveResult, 1), renewResults: make(chan renewResult, 1),
 		reports: make(chan report, 64), members: make(map[fleet.InstanceID]member), startedAt: time.Now(), stop: make(chan struct{}),
+		rollouts: newRolloutLeader(),
 	}
 	record, recordRev, err := r.readOwnership(ctx)
 	for err != nil && bootClock() < won.validUntil && ctx.Err() == nil {
--- a/internal/direct/fanout.go
+++ b/internal/direct/fanout.go
@@ -18,7 +18,7 @@
 func (r *Router) chooseUpstream(ctx context.Context, now time.Time, x *exchange, tried map[fleet.UpstreamID]bool) (*balance.Entry, string) {
 	for {
 		r.mu.Lock()
-		upstream, reason := r.upstreams.Choose(now, r.query(x, tried))
+		upstream, reason := r.chooseVersion(now, x, r.query(x, tried))
 		var id fleet.UpstreamID
 		if upstream != nil {
 			id = upstream.ID
@@ -54,7 +54,7 @@
 // hedgeDelay returns the time after which an idempotent request without an answer is
 // also sent to a second upstream.
 func (r *Router) hedgeDelay(x *exchange) time.Duration {
-	if !x.route.Repeatable() || x.route.MaxAttempts < 2 {
+	if !x.route.Repeatable() || x.route.MaxAttempts < 2 || x.trial {
 		return time.Hour
 	}
 	r.mu.Lock()
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -185,6 +185,7 @@
 		if next.Invalid != nil {
 			r.noteInvalid(time.Now(), entryConfiguration, []error{next.Invalid})
 		}
+		r.noteInvalid(time.Now(), entryRollout, next.InvalidOrders)
 		r.setOperatorState(time.Now(), r.holdEvacuations(requestedAt, next))
 		known = !r.evacuationsHeld(requestedAt) // else the store's evacuations are still to be applied
 		if !r.isLeader() || !known {
@@ -213,6 +214,7 @@
 		}
 	}
 	next.Evacuated = held
+	next.Orders = withKnownOrders(next.Orders, cur.Orders)
 	return next
 }
 
@@ -236,7 +238,7 @@
 			r.mu.Unlock()
 			return
 		}
-		next.Evacuated, next.Revision = cur.Evacuated, cur.Revision
+		next.Evacuated, next.Orders, next.Revision = cur.Evacuated, cur.Orders, cur.Revision
 	}
 	if cur != nil && cur.Table != nil && (next.Table == nil || next.Table.Version < cur.Table.Version) {
 		next.Table, next.Source = cur.Table, cur.Source // a configuration is never replaced by an older one
@@ -406,6 +408,7 @@
 	r.mu.Lock()
 	list = r.adjustList(now, r.upstreams.KeepDraining(list))
 	changes := r.upstreams.Replace(now, list)
+	r.classifyVersions(now)
 	r.pruneLimits()
 	r.setListedAt(requestedAt)
 	if r.leaderList.update(now, list) {
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -67,6 +67,7 @@
 	sentAt := time.Now()
 	r.mu.Lock()
 	run := upstream.Registration
+	flight := r.startFlight(sentAt, x, upstream)
 	r.mu.Unlock()
 	a := attempt{index: index, upstream: upstream, id: run.ID}
 	req := &http1.Request{
@@ -77,7 +78,7 @@
 			}
 			return x.sends.begin(index)
 		},
-		Header:      r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
+		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
 		metadata := r.platform.Protocol.ParseResponse(res.Status, res.Header)
@@ -109,6 +110,7 @@
 	noAnswer := a.verdict == balance.Silent && !upstream.AnsweredSince(sentAt)
 	r.upstreams.Ended(now, upstream, a.verdict, now.Sub(sentAt), a.metadata.Load)
 	x.attempts = append(x.attempts, formatAttempt(a, now.Sub(sentAt)))
+	r.endFlight(ctx, now, flight, a)
 	r.mu.Unlock()
 	if noAnswer {
 		r.platform.UpstreamTransport.CloseIdle(run.Addr) // its other connections may have failed silently too
@@ -174,7 +176,7 @@
 		return errStopping
 	case r.upstreams.Get(upstream.ID) != upstream, now.Before(upstream.PausedUntil()),
 		x.service.Sharded && r.holderEnds(now, upstream) != "",
-		!x.service.Sharded && !r.upstreams.Usable(upstream):
+		!x.service.Sharded && !(r.upstreams.InService(upstream) && r.versionAllowed(now, upstream)):
 		return errNotAllowed
 	}
 	return nil
--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -148,6 +148,9 @@
 	if since, evacuated := r.evacuatedSince[upstream.Zone]; evacuated && now.Sub(since) >= evacuatedHolderUse {
 		reason = "holder-evacuated"
 	}
+	if !r.versionAllowed(now, upstream) {
+		reason = "version-not-allowed"
+	}
 	return reason
 }
 
--- a/internal/direct/invalid.go
+++ b/internal/direct/invalid.go
@@ -19,6 +19,7 @@
 const (
 	entryUpstream      entryKind = "upstream"
 	entryConfiguration entryKind = "configuration"
+	entryRollout       entryKind = "rollout"
 )
 
 // noteInvalid counts entries that were read from the store and ignored because they are
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -100,6 +100,7 @@
 	planDue           time.Time
 	publishDue        time.Time // when the next holder map may be published
 	members           map[fleet.InstanceID]member
+	rollouts          rolloutLeader
 	startedAt         time.Time
 	recordedInstances []fleet.Peer // instances in the ownership record of the former leader
 	// recordedCount is the number of instances that this leader last recorded.
@@ -178,7 +179,7 @@
 func (r *Router) lead(ctx context.Context, l *leadership) {
 	r.log.Info("leading", "term", l.term, "record-revision", l.recordRev)
 	r.mu.Lock()
-	r.leadership, r.totalDemand = l, nil
+	r.leadership, r.totalDemand, r.directives = l, nil, nil
 	r.leader = leaderInfo{id: r.cfg.Instance, addr: r.cfg.PeerListen, term: l.term, heardAt: time.Now()}
 	r.mu.Unlock()
 	defer func() {
@@ -211,6 +212,8 @@
 				return
 			}
 			r.handleRenewal(time.Now(), l, res)
+		case ended := <-l.rollouts.ended:
+			ended()
 		case res := <-l.elections:
 			if !r.handleElection(time.Now(), l, res) {
 				return
@@ -251,6 +254,7 @@
 		r.applyReport(now, l, r.collectReport(now))
 		r.updateMembers(now, l, leaseValid)
 		r.sumDemand(now, l)
+		r.stepRollouts(ctx, now, l, leaseValid)
 		r.setCandidates(now, l)
 		if leaseValid {
 			l.coordinator.Plan(now)
@@ -500,10 +504,11 @@
 		mean += max(r.upstreams.LongMeanTime(now, e), balance.MinServiceTime) / float64(len(entries))
 	}
 	var list []keyspace.Upstream
+	mayHold := r.versionHolders(id, entries)
 	for _, e := range entries {
 		s := max(r.upstreams.LongMeanTime(now, e), balance.MinServiceTime)
 		list = append(list, keyspace.Upstream{
-			ID: e.ID, Boot: e.Boot, Usable: r.upstreams.Usable(e), Cold: e.Cold(now),
+			ID: e.ID, Boot: e.Boot, Usable: mayHold(e), Cold: e.Cold(now),
 			Capacity: r.upstreams.Capacity(now, e).Rate, Speed: mean / s,
 		})
 	}
@@ -519,6 +524,7 @@
 	for id, m := range l.members {
 		if leaseValid && now.Sub(m.heardAt) > memberTimeout {
 			delete(l.members, id)
+			l.rollouts.noteSilent(now, id)
 			r.log.Info("instance removed after missing reports", "instance", id)
 			continue
 		}
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -164,6 +164,7 @@
 		encodeRuns(&e, r.Leaving)
 	}
 	encodeRunLimits(&e, r.Limits)
+	r.encodeRollouts(&e)
 	e.FieldStart("keys")
 	e.ObjStart()
 	for id, keys := range r.Keys {
@@ -219,6 +220,8 @@
 			r.LimitSeq, err = d.UInt64()
 		case "limits":
 			r.Limits, err = decodeRunLimits(d)
+		case "rollouts", "rollout-seq", "urgent":
+			err = r.decodeRollouts(d, field)
 		case "speeds":
 			r.ServiceTimes, err = decodeServiceTimes(d)
 		case "keys":
@@ -278,6 +281,7 @@
 	e.FieldStart("limit-seq")
 	e.UInt64(r.LimitSeq)
 	encodeRunLimits(&e, r.Limits)
+	r.encodeRollouts(&e)
 	if r.MapVersion.Seq > 0 {
 		e.FieldStart("map")
 		r.encodeMap(&e)
@@ -363,6 +367,8 @@
 			r.LimitSeq, err = d.UInt64()
 		case "limits":
 			r.Limits, err = decodeRunLimits(d)
+		case "rollouts", "rollout-seq", "rollout-orders":
+			err = r.decodeRollouts(d, field)
 		case "map":
 			err = r.decodeMap(d)
 		default:
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -30,6 +30,8 @@
 	pauseSeconds    *prometheus.CounterVec // by service
 	leavingUse      prometheus.Histogram
 
+	rolloutPhases *prometheus.CounterVec // by service, phase
+
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
 	refreshGauges        func(now time.Time)
 	knowledgeAge         *prometheus.GaugeVec // by of: the kind of state
@@ -46,6 +48,9 @@
 	bodies               *prometheus.GaugeVec // by of: the kind of bodies
 	callerConns          prometheus.Gauge
 	requestsInProgress   prometheus.Gauge
+	rolloutShare         *prometheus.GaugeVec // by service
+	rolloutRequests      *prometheus.GaugeVec // by service, of
+	held                 *prometheus.GaugeVec // by service
 }
 
 // durationBuckets are the upper bounds of the duration histogram, in seconds. They are
@@ -144,6 +149,7 @@
 	m.registry.MustRegister(m.requestDuration, m.answers, m.storeCalls, m.upstreamCalls, m.keyMoves, m.closedConns, m.cutResponses, m.droppedLogLines, m.invalidEntries, m.invalidPauses, m.invalidLimits, m.pauseSeconds, m.leavingUse)
 	m.registry.MustRegister(m.knowledgeAge, m.leading, m.instances, m.configurationVersion, m.restrictions, m.storeEra, m.upstreams, m.leavingByAnswer, m.limited)
 	m.registry.MustRegister(m.memory, m.memoryLimit, m.bodies, m.callerConns, m.requestsInProgress)
+	m.registerRollouts()
 	return m
 }
 
@@ -194,6 +200,7 @@
 	for service, n := range r.upstreams.LimitedUpstreams() {
 		m.limited.WithLabelValues(serviceLabel(service)).Set(float64(n))
 	}
+	r.updateRolloutGauges()
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
 			m.upstreams.WithLabelValues(serviceLabel(service), string(state)).Set(float64(n))
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -14,6 +14,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/rollout"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -88,6 +89,11 @@
 	// leave, and the limits. The leader answers a report with either at once.
 	Leaving []balance.Run
 	Limits  []balance.RunLimit
+	// Rollouts is what the sender has observed of roll-outs, RolloutSeq the version of this
+	// leader's directives that it applies. The leader answers an urgent report at once.
+	Rollouts   []rollout.Evidence
+	RolloutSeq uint64
+	Urgent     bool
 }
 
 // reply is the leader's answer to a report.
@@ -117,6 +123,10 @@
 	Source           []byte // encoded configuration; empty if the instance has it
 	Evacuated        []fleet.ZoneID
 	OperatorRevision fleet.Revision
+	Orders           map[fleet.ServiceID]rollout.Order
+	// Rollouts are the leader's directives, nil if it does not know them yet.
+	Rollouts   []rollout.Directive
+	RolloutSeq uint64 // version of the directives
 }
 
 // collectReport returns a report of what was observed since the last one.
@@ -148,6 +158,7 @@
 	if m := r.holderMap.Load(); m != nil {
 		rep.MapVersion = m.Version
 	}
+	r.addEvidence(now, &rep)
 	return rep
 }
 
@@ -163,6 +174,7 @@
 		runs := r.upstreams.RunsLeaving()
 		next := maps.Clone(reportedLimits)
 		rep.Limits = r.ownLimits(now, next)
+		rep.Urgent, r.urgentEvidence = r.urgentEvidence, false
 		r.mu.Unlock()
 		maps.DeleteFunc(reported, func(run balance.Run, _ bool) bool { return !slices.Contains(runs, run) })
 		for _, run := range runs {
@@ -170,7 +182,7 @@
 				rep.Leaving = append(rep.Leaving, run)
 			}
 		}
-		if len(rep.Leaving)+len(rep.Limits) > 0 {
+		if len(rep.Leaving)+len(rep.Limits) > 0 || rep.Urgent {
 			if err := r.sendNews(ctx, info.addr, rep); err != nil {
 				r.log.Debug("reporting news of upstreams failed", "leader", info.id, "error", err)
 				sleep(ctx, storeRetryDelay)
@@ -325,7 +337,8 @@
 	fromStore := r.listFromStore
 	r.mu.Unlock()
 	r.applyOperator(repliedAt, rp)
-	defer r.mergeLimits(now, rp.Limits, "leader") // after the upstreams are listed
+	defer func() { r.applyDirectives(now, repliedAt, rp.Rollouts, rp.RolloutSeq) }() // after the upstreams are listed
+	defer r.mergeLimits(now, rp.Limits, "leader")                                    // after the upstreams are listed
 	if newer && (changed || fromStore) {
 		if !changed {
 			list = r.listReplica.apply(rp.Term, rp.List)
@@ -343,7 +356,7 @@
 	if rp.OperatorRevision == 0 {
 		return
 	}
-	next := OperatorState{Evacuated: make(map[fleet.ZoneID]bool), Revision: rp.OperatorRevision}
+	next := OperatorState{Evacuated: make(map[fleet.ZoneID]bool), Revision: rp.OperatorRevision, Orders: rp.Orders}
 	for _, zone := range rp.Evacuated {
 		next.Evacuated[zone] = true
 	}
@@ -400,7 +413,7 @@
 	case l.reports <- rep:
 	case <-l.stop:
 	}
-	if len(rep.Leaving)+len(rep.Limits) == 0 && !r.hasUpdate(l, rep) {
+	if len(rep.Leaving)+len(rep.Limits) == 0 && !rep.Urgent && !r.hasUpdate(l, rep) {
 		t := time.NewTimer(r.currentLongPollWait())
 		select {
 		case <-changed:
@@ -427,6 +440,9 @@
 	if rep.OperatorSeq != r.operatorSeq || rep.Restorations != l.restorations {
 		return true
 	}
+	if r.directives != nil && rep.RolloutSeq > 0 && rep.RolloutSeq != r.directivesSeq {
+		return true
+	}
 	return rep.ListTerm != l.term || rep.ListSeq != r.leaderList.seq
 }
 
@@ -437,7 +453,7 @@
 	op := r.operatorState.Load()
 	rp.OperatorTag = op.Tag()
 	if op != nil && op.Table != nil && rep.OperatorTag != rp.OperatorTag {
-		rp.OperatorRevision, rp.Evacuated = op.Revision, slices.Sorted(maps.Keys(op.Evacuated))
+		rp.OperatorRevision, rp.Evacuated, rp.Orders = op.Revision, slices.Sorted(maps.Keys(op.Evacuated)), op.Orders
 		if !sameConfiguration(rep.OperatorTag, rp.OperatorTag) {
 			rp.Source = op.Source
 		}
@@ -461,6 +477,7 @@
 		rp.Demand = r.totalDemand // sent as often as the instance reports its own; nil until known
 	}
 	rp.OperatorAge = now.Sub(r.operatorConfirmedAt)
+	rp.Rollouts, rp.RolloutSeq = r.directives, r.directivesSeq
 	if rep.ListTerm != l.term {
 		rep.ListSeq = 0
 	}
@@ -490,6 +507,7 @@
 		}
 	}
 	r.learnLeaving(now, l, rep)
+	mergeEvidence(l, rep)
 	if rep.Instance != r.cfg.Instance {
 		r.mergeLimits(now, rep.Limits, "report of "+string(rep.Instance))
 	}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -17,6 +17,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/rollout"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -112,13 +113,21 @@
 	limitSeqReceived    uint64        // last version of the leader's limitLog that this instance has
 	newsReady           chan struct{} // closed when an upstream states that it leaves, or its limit has changed
 
+	// Roll-outs of versions.
+	gate               *rollout.Gate
+	collector          *rollout.Collector
+	rolloutSeqReceived uint64 // version of the leader's directives that gate has
+	urgentEvidence     bool   // that the leader has to get at once
+
 	// Data for replies, if this instance leads.
-	leadership  *leadership   // nil unless this instance leads
-	update      chan struct{} // closed when there is an update for held reports
-	leaderList  *leaderList
-	recentMaps  map[keyspace.MapVersion]*keyspace.Map // base maps for the changes in replies
-	operatorSeq uint64                                // version of the operator state; counts its changes
-	totalDemand map[fleet.AccountID]float64           // requests/s of all instances
+	directives    []rollout.Directive // nil until known
+	directivesSeq uint64              // counts the changes of directives
+	leadership    *leadership         // nil unless this instance leads
+	update        chan struct{}       // closed when there is an update for held reports
+	leaderList    *leaderList
+	recentMaps    map[keyspace.MapVersion]*keyspace.Map // base maps for the changes in replies
+	operatorSeq   uint64                                // version of the operator state; counts its changes
+	totalDemand   map[fleet.AccountID]float64           // requests/s of all instances
 }
 
 // New returns an instance, to be started by Run.
@@ -139,6 +148,7 @@
 	}
 	r.stopping, r.cancelStopping = context.WithCancel(context.Background())
 	r.splitter = routes.NewSplitter(r.rng)
+	r.gate, r.collector = rollout.NewGate(r.rng), rollout.NewCollector(r.boot)
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
 	r.accounts.request, r.accounts.logFailure = r.requestToken, r.logAccountHomeFailure
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -42,6 +42,8 @@
 	account              routes.Account
 	service              routes.Service
 
+	picked, trial bool // whether a version was picked, and whether it is that of a roll-out
+
 	sends        sends
 	arrivals     int                // number of times that the request was sent to an upstream
 	attempts     []string           // descriptions of the attempts, for the log
@@ -167,6 +169,7 @@
 		return refuse(http.StatusServiceUnavailable, "unknown-service", retryAfterNotReady), false
 	}
 	r.retryBudget(x.service.ID).Request(x.receivedAt, r.instanceCount())
+	r.collector.Arrived(x.service.ID)
 	if x.service.Sharded && x.info.HasRoutingKey && len(r.requestedKeys[x.service.ID]) < maxReportedKeys {
 		r.requestedKeys[x.service.ID] = append(r.requestedKeys[x.service.ID], x.info.RoutingKey)
 	}
--- a/internal/direct/shared.go
+++ b/internal/direct/shared.go
@@ -156,7 +156,11 @@
 		{"zone", string(r.Zone)},
 		{"addr", r.Addr},
 		{"boot", string(r.Boot)},
+		{"version", string(r.Version)},
 	} {
+		if f.name == "version" && f.value == "" {
+			continue
+		}
 		e.FieldStart(f.name)
 		e.Str(f.value)
 	}
@@ -209,7 +213,7 @@
 		var err error
 		var s string
 		switch field {
-		case "id", "service", "zone", "addr", "boot":
+		case "id", "service", "zone", "addr", "boot", "version":
 			s, err = d.Str()
 		case "slots":
 			var n int
@@ -233,6 +237,8 @@
 			r.Addr = s
 		case "boot":
 			r.Boot = fleet.BootID(s)
+		case "version":
+			r.Version = fleet.VersionID(s)
 		}
 		return err
 	})
--- a/internal/rollout/collector.go
+++ b/internal/rollout/collector.go
@@ -69,6 +69,9 @@
 func (c *Collector) SetDirectives(list []Directive) {
 	next := make(map[fleet.ServiceID]*collected, len(list))
 	for _, d := range list {
+		if d.Settled {
+			continue
+		}
 		s := c.services[d.Service]
 		if s == nil || s.order != d.Order {
 			s = &collected{order: d.Order, target: d.Target, routes: make(map[string]*RouteTally), open: make(map[*Flight]struct{})}
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -143,6 +143,9 @@
 	case PhaseFinal, PhaseCompleted:
 		d.Share, d.Final = 1, true
 	}
+	if c.rec.Settled {
+		d.Share, d.Final, d.Settled = 0, false, true
+	}
 	if c.throttled {
 		d.Share = 0
 	}
@@ -178,7 +181,23 @@
 		c.enter(now, *saved, "")
 		return
 	}
-	c.dirty = c.dirty && saved.Phase != c.rec.Phase
+	c.dirty = c.dirty && (saved.Phase != c.rec.Phase || saved.Settled != c.rec.Settled)
+}
+
+// Restored tells that the store was restored from a copy and may lack the last record.
+func (c *Controller) Restored() { c.dirty = true }
+
+// settleTime is the time after the completion of a roll-out within which the upstreams of
+// other versions have stopped.
+const settleTime = 10 * time.Second
+
+// Settle ends the restriction to the target of a completed roll-out: no other version is
+// listed, or the listed ones are so late that they have nothing to do with it.
+func (c *Controller) Settle(now time.Time, othersListed bool) {
+	if c.rec.Phase == PhaseCompleted && !c.rec.Settled && !c.dirty && (!othersListed || now.Sub(c.phaseAt) > settleTime) {
+		c.rec.Settled, c.dirty = true, true
+		c.step++
+	}
 }
 
 // Stored reports whether the record in force is stored.
@@ -275,7 +294,7 @@
 		if c.rec.Phase == PhaseShift {
 			limit = shiftAlarmScore
 		}
-		if reason, route := c.compared.alarm(in.Totals, limit, in.Upstreams < 2); reason != "" && !final {
+		if reason, route := c.compared.alarm(in.Totals, limit, subsetSize(in.Upstreams, c.Directive().Share, in.Sharded) < 2); reason != "" && !final {
 			c.rollBack(now, reason, route)
 			return
 		}
@@ -298,7 +317,7 @@
 			c.rollBack(now, "no-upstreams", "")
 		}
 	case PhaseProbe:
-		if float64(in.Mature) >= matureShare*float64(in.Upstreams) && in.Mature >= min(minTrialUpstreams, in.Upstreams) && in.Mature > 0 {
+		if float64(in.Mature) >= matureShare*float64(in.Upstreams) && in.Mature >= min(minTrial(in.Sharded), in.Upstreams) && in.Mature > 0 {
 			c.propose(now, PhaseMeasure, 0)
 		}
 	case PhaseMeasure:
--- a/internal/rollout/evidence_codec.go
+++ b/internal/rollout/evidence_codec.go
@@ -180,6 +180,10 @@
 		e.FieldStart("final")
 		e.Bool(true)
 	}
+	if v.Settled {
+		e.FieldStart("settled")
+		e.Bool(true)
+	}
 	e.ObjEnd()
 }
 
@@ -208,6 +212,8 @@
 			}
 		case "final":
 			v.Final, err = d.Bool()
+		case "settled":
+			v.Settled, err = d.Bool()
 		default:
 			err = d.Skip()
 		}
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -34,6 +34,7 @@
 // versions are the versions of a service that all requests may use, and since when others
 // have been listed.
 type versions struct {
+	seenAt  time.Time // when the service was first listed
 	allowed map[fleet.VersionID]bool
 	heldAt  map[fleet.VersionID]time.Time
 }
@@ -126,6 +127,7 @@
 	trial := make(map[fleet.ServiceID][]fleet.UpstreamID)
 	for _, u := range list {
 		d, directed := g.directives[u.Service]
+		directed = directed && !d.Settled
 		switch {
 		case directed && d.Target == u.Version && d.Final:
 		case directed && d.Target == u.Version:
@@ -140,7 +142,7 @@
 		}
 	}
 	for id, ids := range trial {
-		for _, upstream := range Subset(ids, g.directives[id].Share) {
+		for _, upstream := range Subset(ids, g.directives[id].Share, false) {
 			out[upstream] = UseTrial
 		}
 	}
@@ -152,10 +154,12 @@
 func (g *Gate) admitVersions(now, confirmedAt time.Time, id fleet.ServiceID, found map[fleet.VersionID]bool, orders map[fleet.ServiceID]Order) {
 	d, directed := g.directives[id]
 	order, ordered := orders[id]
+	settled := directed && d.Settled // the order has been carried out
+	directed, ordered = directed && !settled, ordered && !settled
 	named := func(v fleet.VersionID) bool { return directed && d.Target == v || ordered && order.Target == v }
 	s := g.services[id]
 	if s == nil {
-		s = &versions{allowed: make(map[fleet.VersionID]bool), heldAt: make(map[fleet.VersionID]time.Time)}
+		s = &versions{seenAt: now, allowed: make(map[fleet.VersionID]bool), heldAt: make(map[fleet.VersionID]time.Time)}
 		g.services[id] = s
 		for v := range found {
 			if !named(v) || len(found) == 1 && !directed {
@@ -164,6 +168,9 @@
 		}
 	}
 	s.allowed[""] = true // an upstream without a version belongs to none that an order names
+	if settled {
+		s.allowed[d.Target] = true
+	}
 	if directed && d.Final {
 		clear(s.allowed)
 		s.allowed[""], s.allowed[d.Target] = true, true
@@ -178,6 +185,8 @@
 		}
 		since, held := s.heldAt[v]
 		switch {
+		case !held && now.Sub(s.seenAt) < unorderedDelay: // upstreams register one after the other
+			s.allowed[v] = true
 		case !held:
 			s.heldAt[v] = now
 		case confirmedAt.Sub(since) >= unorderedDelay:
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -36,6 +36,7 @@
 	Elapsed        time.Duration // since the order, when the record was made
 	Sent, Arrivals int           // requests to the new version and to the service, then
 	Reason         string        // of a rollback
+	Settled        bool          // completed, and the target is a version like others
 }
 
 // State returns the state that operators see.
@@ -82,6 +83,8 @@
 	}
 	e.FieldStart("share")
 	e.Float64(r.Share)
+	e.FieldStart("settled")
+	e.Bool(r.Settled)
 	e.ObjEnd()
 	return e.Bytes()
 }
@@ -102,6 +105,8 @@
 			}
 		case "share":
 			r.Share, err = d.Float64()
+		case "settled":
+			r.Settled, err = d.Bool()
 		default:
 			err = d.Skip()
 		}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -79,6 +79,7 @@
 	Step    uint64  // grows with each change of the directive, also if the leader changes
 	Share   float64 // of the first attempts of requests that use the target
 	Final   bool    // all requests use the target
+	Settled bool    // the roll-out is completed; the target is a version like others
 }
 
 // MaxSilence is the time without a reply of the leader after which an instance sends
@@ -86,13 +87,29 @@
 const MaxSilence = 2 * time.Second
 
 // minTrialUpstreams is the least number of upstreams that a share is sent to. With fewer,
-// one slow machine would look like a slow version.
+// one slow machine would look like a slow version. In a sharded service one is enough: each
+// takes all keys of another upstream, which may be more than the share.
 const minTrialUpstreams = 3
 
+func minTrial(sharded bool) int {
+	if sharded {
+		return 1
+	}
+	return minTrialUpstreams
+}
+
+// subsetSize returns how many of n upstreams a share uses.
+func subsetSize(n int, share float64, sharded bool) int {
+	if share <= 0 {
+		return 0
+	}
+	return min(n, max(minTrial(sharded), int(share*float64(n))))
+}
+
 // Subset returns the upstreams that a share of the requests uses: as many as have the load
 // that each has when all upstreams share all requests. The upstreams of a smaller share
 // are part of those of a larger one. It changes the order of ids.
-func Subset(ids []fleet.UpstreamID, share float64) []fleet.UpstreamID {
+func Subset(ids []fleet.UpstreamID, share float64, sharded bool) []fleet.UpstreamID {
 	slices.SortFunc(ids, func(a, b fleet.UpstreamID) int {
 		ha, hb := xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))
 		switch {
@@ -103,8 +120,5 @@
 		}
 		return 0
 	})
-	if share <= 0 {
-		return nil
-	}
-	return ids[:min(len(ids), max(minTrialUpstreams, int(share*float64(len(ids)))))]
+	return ids[:subsetSize(len(ids), share, sharded)]
 }
--- a/internal/standin/front/upstream.go
+++ b/internal/standin/front/upstream.go
@@ -16,6 +16,7 @@
 type UpstreamConfig struct {
 	ID, Service, Zone string
 	Sharded           bool          // executes requests only for keys that it was granted
+	Version           string        // stated in the registration; empty means v1
 	Slots             int           // requests executed at a time; 0 means 6
 	ServiceTime       time.Duration // service time of a request
 	Addr              string        // "IP:port"; empty means a free port of 127.0.0.1
@@ -57,6 +58,9 @@
 	if cfg.Slots == 0 {
 		cfg.Slots = 6
 	}
+	if cfg.Version == "" {
+		cfg.Version = "v1"
+	}
 	if cfg.Addr == "" {
 		cfg.Addr = "127.0.0.1:0"
 	}
@@ -157,8 +161,8 @@
 		state = "draining"
 	}
 	u.seq++
-	return "servers/" + u.cfg.ID, fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"seq":%d,"coldLeft":"%dms"}}`,
-		u.startUnixMs, addr, u.cfg.Service, u.cfg.Zone, u.cfg.Slots, state, u.seq, u.coldLeft.Milliseconds())
+	return "servers/" + u.cfg.ID, fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":%q,"version":%q,"zone":%q,"slots":%d},"status":{"state":%q,"seq":%d,"coldLeft":"%dms"}}`,
+		u.startUnixMs, addr, u.cfg.Service, u.cfg.Version, u.cfg.Zone, u.cfg.Slots, state, u.seq, u.coldLeft.Milliseconds())
 }
 
 // ServeHTTP handles grants and releases of keys, and client requests.
