rollout: routes with few requests get a larger share for the verdict

Change: in phase measure a route with less than half of the requests gets up to 4 times its part. Before the verdict, 0.7 of the bound may be used (0.6).

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -40,7 +40,7 @@
 	// throttleShare and throttleSlack are the parts of the bound up to which requests are
 	// sent before the verdict, and resumeShare is the part of those at which they are sent
 	// again. The rest is for requests that are not reported yet.
-	throttleShare = 0.6
+	throttleShare = 0.7
 	throttleSlack = 0.4
 	resumeShare   = 0.9
 	// minUpstreamsShare is the least number of upstreams of the new version, relative to the
@@ -137,7 +137,7 @@
 			d.Share = 0 // no key moves to cold upstreams
 		}
 	case PhaseMeasure:
-		d.Share = measureShare
+		d.Share, d.Even = measureShare, true
 		if c.in.Sharded {
 			d.Share = measureHolderShare
 		}
@@ -150,7 +150,7 @@
 		d.Share, d.Final, d.Settled = 0, false, true
 	}
 	if c.throttled {
-		d.Share = 0
+		d.Share, d.Even = 0, false
 	}
 	return d
 }
--- a/internal/rollout/evidence_codec.go
+++ b/internal/rollout/evidence_codec.go
@@ -176,6 +176,10 @@
 	e.UInt64(v.Step)
 	e.FieldStart("share")
 	e.Float64(v.Share)
+	if v.Even {
+		e.FieldStart("even")
+		e.Bool(true)
+	}
 	if v.Final {
 		e.FieldStart("final")
 		e.Bool(true)
@@ -210,6 +214,8 @@
 			if err == nil && !(v.Share >= 0 && v.Share <= 1) {
 				err = errors.Errorf("want a share from 0 to 1, not %v", v.Share)
 			}
+		case "even":
+			v.Even, err = d.Bool()
 		case "final":
 			v.Final, err = d.Bool()
 		case "settled":
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -45,14 +45,34 @@
 	services   map[fleet.ServiceID]*versions
 	directives map[fleet.ServiceID]Directive
 	heardAt    time.Time // earliest time at which the leader may have made the directives
-	positions  map[fleet.ServiceID]map[string]float64
+	picks      map[fleet.ServiceID]*picks
 }
 
+// picks are the requests of a service since its roll-out began.
+type picks struct {
+	total  int
+	routes map[string]*routePicks
+}
+
+// routePicks are those of one route. position is the last term of its recurrence.
+type routePicks struct {
+	n        int
+	position float64
+}
+
+const (
+	// evenShare is the share of all requests up to which a route gets more than its part of
+	// an even directive, and maxBoost how many times its part it gets at most: a verdict
+	// needs about as many responses of each route.
+	evenShare = 0.5
+	maxBoost  = 4
+)
+
 // NewGate returns a gate that draws from rng.
 func NewGate(rng *rand.Rand) *Gate {
 	return &Gate{
 		rng: rng, services: make(map[fleet.ServiceID]*versions), directives: make(map[fleet.ServiceID]Directive),
-		positions: make(map[fleet.ServiceID]map[string]float64),
+		picks: make(map[fleet.ServiceID]*picks),
 	}
 }
 
@@ -70,7 +90,7 @@
 	}
 	for id := range g.directives {
 		if _, kept := next[id]; !kept {
-			delete(g.positions, id)
+			delete(g.picks, id)
 		}
 	}
 	g.directives = next
@@ -96,18 +116,24 @@
 	if !g.MayTry(now, id) {
 		return false
 	}
-	positions := g.positions[id]
-	if positions == nil {
-		positions = make(map[string]float64)
-		g.positions[id] = positions
+	p := g.picks[id]
+	if p == nil {
+		p = &picks{routes: make(map[string]*routePicks)}
+		g.picks[id] = p
+	}
+	r := p.routes[route]
+	if r == nil {
+		r = &routePicks{position: g.rng.Float64()}
+		p.routes[route] = r
 	}
-	position, known := positions[route]
-	if !known {
-		position = g.rng.Float64()
+	p.total++
+	r.n++
+	_, r.position = math.Modf(r.position + 1/math.Phi)
+	share := g.directives[id].Share
+	if g.directives[id].Even {
+		share *= min(maxBoost, max(1, evenShare*float64(p.total)/float64(r.n)))
 	}
-	_, position = math.Modf(position + 1/math.Phi)
-	positions[route] = position
-	return position < g.directives[id].Share
+	return r.position < share
 }
 
 // Classify returns the upstreams that not all requests may use. confirmedAt is when the
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -78,6 +78,7 @@
 	Target  fleet.VersionID
 	Step    uint64  // grows with each change of the directive, also if the leader changes
 	Share   float64 // of the first attempts of requests that use the target
+	Even    bool    // routes with few requests get a larger share, for the verdict
 	Final   bool    // all requests use the target
 	Settled bool    // the roll-out is completed; the target is a version like others
 }
