rollout: keys that move among upstreams of the new version do not delay the end

Cause: the leader took a span without a holder in the published map for one that another version holds, so that steady rebalancing could delay the final phase.

Change: keyspace.Coordinator.HeldBy looks at the holders of the spans.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 	"github.com/parsleyproxy/parsleyproxy/internal/rollout"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -212,7 +211,7 @@
 			}
 		}
 	}
-	in.OldHolders = sharded && r.holdsOther(d)
+	in.OldHolders = sharded && r.holdsOther(l, d)
 	r.mu.Unlock()
 	s.controller.Settle(now, others > 0)
 	in.Silent = l.silentInstances(now)
@@ -251,14 +250,11 @@
 }
 
 // holdsOther reports whether an upstream of another version than the target holds keys of
-// the service, or keys have no holder. The caller must hold mu.
-func (r *Router) holdsOther(d rollout.Directive) bool {
-	m := r.holderMap.Load()
-	if m == nil {
-		return true
-	}
-	return slices.ContainsFunc(m.Services[d.Service], func(h keyspace.HeldSpan) bool {
-		e := r.upstreams.Get(h.Holder)
+// the service. Keys may move between upstreams of the target meanwhile. The caller must
+// hold mu.
+func (r *Router) holdsOther(l *leadership, d rollout.Directive) bool {
+	return l.coordinator.HeldBy(d.Service, func(id fleet.UpstreamID) bool {
+		e := r.upstreams.Get(id)
 		return e == nil || e.Version != d.Target
 	})
 }
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -336,7 +336,7 @@
 		c.advanceShift(now)
 	case PhaseFinal:
 		silent := in.Silent > 0 && c.elapsed(now) < c.rec.Order.Duration-forgetMargin
-		if in.Behind == 0 && in.OldOpen == 0 && !in.OldHolders && !silent && !now.Before(c.phaseAt.Add(stepTime/7)) {
+		if in.Behind == 0 && in.OldOpen == 0 && !in.OldHolders && !silent && now.After(c.phaseAt) {
 			c.propose(now, PhaseCompleted, 1)
 		}
 	}
