rollout: a lost instance does not hold up the steps of a roll-out

Cause: an instance that is lost counted as one that has not applied the directive until it was removed after 4 s, which is too late in 12 s.

Change: one that misses two reports counts as silent; an instance that has reported to have nothing in flight at another version is not waited for. The share rises if four fifths of the instances apply the step before.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -214,41 +214,53 @@
 	in.OldHolders = sharded && r.holdsOther(l, d)
 	r.mu.Unlock()
 	s.controller.Settle(now, others > 0)
-	in.Silent = l.silentInstances(now)
-	for id := range l.members {
-		applied, open := s.evidence.Applied(id, d.Step)
-		if !applied {
-			in.Behind++
-		}
-		in.OldOpen += open
-	}
+	r.countInstances(now, l, s, d.Step, &in)
 	return in
 }
 
-// silentInstanceTime is the time for which an instance that has stopped reporting counts as
-// one that may still send requests. Most such instances were lost.
-const silentInstanceTime = 20 * time.Second
-
-// silentInstances returns the number of instances that may run although they do not report.
-func (l *leadership) silentInstances(now time.Time) int {
-	n := 0
-	for _, at := range l.rollouts.silent {
-		if now.Sub(at) < silentInstanceTime {
-			n++
+// countInstances counts the instances that do not apply the directive with the given step
+// yet, and the requests in flight to other versions. One that has reported to apply it
+// without such requests has none later, also if it is silent.
+func (r *Router) countInstances(now time.Time, l *leadership, s *serviceRollout, step uint64, in *rollout.Input) {
+	done := func(id fleet.InstanceID) bool {
+		applied, open := s.evidence.Applied(id, step)
+		return applied && open == 0
+	}
+	limit := r.currentLongPollWait() + leaderSilenceMargin
+	in.Members = len(l.members)
+	for id, m := range l.members {
+		applied, open := s.evidence.Applied(id, step)
+		switch {
+		case applied && open == 0:
+		case now.Sub(m.heardAt) > limit:
+			in.Silent++
+		case !applied:
+			in.Behind++
+			in.OldOpen += open
+		default:
+			in.OldOpen += open
+		}
+	}
+	for id, at := range l.rollouts.silent {
+		if now.Sub(at) < silentInstanceTime && !done(id) {
+			in.Silent++
 		}
 	}
 	if now.Sub(l.startedAt) >= silentInstanceTime {
-		return n
+		return
 	}
 	for _, p := range l.recordedInstances {
 		_, reports := l.members[p.ID]
-		if _, removed := l.rollouts.silent[p.ID]; !reports && !removed {
-			n++
+		if _, removed := l.rollouts.silent[p.ID]; !reports && !removed && !done(p.ID) {
+			in.Silent++
 		}
 	}
-	return n
 }
 
+// silentInstanceTime is the time for which an instance that has stopped reporting counts as
+// one that may still send requests. Most such instances were lost.
+const silentInstanceTime = 20 * time.Second
+
 // holdsOther reports whether an upstream of another version than the target holds keys of
 // the service. Keys may move between upstreams of the target meanwhile. The caller must
 // hold mu.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -46,6 +46,9 @@
 	// minUpstreamsShare is the least number of upstreams of the new version, relative to the
 	// others, with which it gets all requests.
 	minUpstreamsShare = 0.4
+	// maxBehindShare is the share of the instances that may not have applied a step when the
+	// next one is taken: an instance that was lost is not waited for.
+	maxBehindShare = 0.2
 	// undecidedShare is the share of the order's duration after which a leader without a
 	// verdict says so.
 	undecidedShare = 0.6
@@ -66,10 +69,10 @@
 	Upstreams, Mature, Others int
 	Sharded                   bool
 	OldHolders                bool // other versions hold keys, or keys are in a move
-	// Behind is the number of reporting instances that have not applied the directive,
-	// Silent that of instances that have stopped reporting, and OldOpen the number of
-	// requests in flight to other versions.
-	Behind, Silent, OldOpen int
+	// Members is the number of instances, Behind that of those which report and have not
+	// applied the directive, Silent that of those which may have requests in flight to other
+	// versions and have stopped reporting, and OldOpen the number of such requests of others.
+	Members, Behind, Silent, OldOpen int
 }
 
 // Event is something that a leader logs.
@@ -348,7 +351,7 @@
 	if c.in.Sharded {
 		stay, second = holderStepTime, secondHolderShift
 	}
-	if now.Sub(c.phaseAt) < stay || c.compared.doubtful() || c.in.Behind > 0 || !c.resetAt.IsZero() {
+	if now.Sub(c.phaseAt) < stay || c.compared.doubtful() || float64(c.in.Behind) > maxBehindShare*float64(c.in.Members) || !c.resetAt.IsZero() {
 		return
 	}
 	switch {
--- a/internal/rollout/sim_test.go
+++ b/internal/rollout/sim_test.go
@@ -174,6 +174,7 @@
 					in.Silent++
 					continue
 				}
+				in.Members++
 				if !applied {
 					in.Behind++
 				}
