Merge roll-outs of versions

Urgent reports of full holders and of bad responses of new versions share one field; a trial of a new version compares all its upstreams, other requests choose as before.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/rollout"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -55,6 +56,7 @@
 	Target  time.Duration // target latency of the route
 	Bytes   int           // expected size of the bodies of the request and its response
 	Exclude map[fleet.UpstreamID]bool
+	Use     rollout.Use // of the upstreams to choose from
 }
 
 // Choose returns the upstream with the lowest estimated cost, or nil if there is no
@@ -65,7 +67,7 @@
 func (t *Table) Choose(now time.Time, q Query) (*Entry, string) {
 	list := t.byService[q.Service]
 	c := t.newChoice(now, q)
-	if len(list) > recentSize+2*sampleSize && chooseByCost {
+	if len(list) > recentSize+2*sampleSize && chooseByCost && q.Use == rollout.UseOpen {
 		c.compareSamples(list)
 		if c.best != nil {
 			return c.best, c.reason
@@ -140,7 +142,7 @@
 // compare makes e the best upstream if it is a candidate and costs less than the best so far.
 func (c *choice) compare(e *Entry) {
 	t, now := c.t, c.now
-	if !t.Usable(e) || c.q.Exclude[e.ID] {
+	if e.use != c.q.Use || !t.InService(e) || c.q.Exclude[e.ID] {
 		return
 	}
 	if now.Before(e.ejectedUntil) {
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -67,6 +67,7 @@
 	sentAt := time.Now()
 	r.mu.Lock()
 	run := upstream.Registration
+	flight := r.startFlight(sentAt, x, upstream)
 	r.mu.Unlock()
 	a := attempt{index: index, upstream: upstream, id: run.ID}
 	req := &http1.Request{
@@ -122,6 +123,7 @@
 	}
 	r.noteHolderLoad(now, x, a)
 	x.attempts = append(x.attempts, formatAttempt(a, now.Sub(sentAt)))
+	r.endFlight(ctx, now, flight, a)
 	r.mu.Unlock()
 	if noAnswer {
 		r.platform.UpstreamTransport.CloseIdle(run.Addr) // its other connections may have failed silently too
@@ -187,7 +189,7 @@
 		return errStopping
 	case r.upstreams.Get(upstream.ID) != upstream, now.Before(upstream.PausedUntil()),
 		x.service.Sharded && r.holderEnds(now, upstream) != "",
-		!x.service.Sharded && !r.upstreams.Usable(upstream):
+		!x.service.Sharded && !(r.upstreams.InService(upstream) && r.versionAllowed(now, upstream)):
 		return errNotAllowed
 	}
 	return nil
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -175,6 +175,7 @@
 		e.FieldStart("urgent")
 		e.Bool(true)
 	}
+	r.encodeRollouts(&e)
 	e.FieldStart("keys")
 	e.ObjStart()
 	for id, keys := range r.Keys {
@@ -236,6 +237,8 @@
 			r.HolderLoads, err = decodeToldLoads(d)
 		case "urgent":
 			r.Urgent, err = d.Bool()
+		case "rollouts", "rollout-seq":
+			err = r.decodeRollouts(d, field)
 		case "speeds":
 			r.ServiceTimes, err = decodeServiceTimes(d)
 		case "curves":
@@ -302,6 +305,7 @@
 	encodeShares(&e, r.Admission)
 	encodeInFlight(&e, r.InFlight)
 	r.Holders.encode(&e)
+	r.encodeRollouts(&e)
 	if r.MapVersion.Seq > 0 {
 		e.FieldStart("map")
 		r.encodeMap(&e)
@@ -395,6 +399,8 @@
 			r.InFlight.Seq, err = d.UInt64()
 		case "holder-loads":
 			r.Holders, err = decodeHolderNews(d)
+		case "rollouts", "rollout-seq", "rollout-orders":
+			err = r.decodeRollouts(d, field)
 		case "map":
 			err = r.decodeMap(d)
 		default:
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -36,6 +36,8 @@
 	holderRefusals  *prometheus.CounterVec // by service, reason
 	holderReports   prometheus.Counter
 
+	rolloutPhases *prometheus.CounterVec // by service, phase
+
 	// Gauges of the instance's state, which refreshGauges updates before each scrape.
 	refreshGauges        func(now time.Time)
 	knowledgeAge         *prometheus.GaugeVec // by of: the kind of state
@@ -57,7 +59,10 @@
 	admission            admissionMetrics
 	capacities           capacityMetrics
 
-	otherZoneBytes *prometheus.CounterVec // by service
+	otherZoneBytes  *prometheus.CounterVec // by service
+	rolloutShare    *prometheus.GaugeVec   // by service
+	rolloutRequests *prometheus.GaugeVec   // by service, of
+	held            *prometheus.GaugeVec   // by service
 }
 
 // durationBuckets are the upper bounds of the duration histogram, in seconds. They are
@@ -168,6 +173,7 @@
 	}, []string{"service"})
 	m.registry.MustRegister(m.otherZoneBytes)
 	m.capacities = newCapacityMetrics(m.registry)
+	m.registerRollouts()
 	return m
 }
 
@@ -221,6 +227,7 @@
 	}
 	m.capacities.update(now, r.upstreams)
 	r.updateHolderGauges(now)
+	r.updateRolloutGauges()
 	for service, states := range r.upstreams.States(now) {
 		for state, n := range states {
 			m.upstreams.WithLabelValues(serviceLabel(service), string(state)).Set(float64(n))
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -15,6 +15,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/rollout"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -93,10 +94,15 @@
 	Limits  []balance.RunLimit
 	// Admission has the requests since the last report.
 	Admission admission.Report
-	// HolderLoads are loads that holders have stated to the sender. The leader answers a
-	// report with Urgent, which was sent because a holder is full, at once.
+	// HolderLoads are loads that holders have stated to the sender.
 	HolderLoads []toldLoad
-	Urgent      bool
+	// Rollouts is what the sender has observed of roll-outs, RolloutSeq the version of this
+	// leader's directives that it applies.
+	Rollouts   []rollout.Evidence
+	RolloutSeq uint64
+	// Urgent states that the report was sent because a holder is full, or because of a bad
+	// response of a new version. The leader answers it at once.
+	Urgent bool
 }
 
 // reply is the leader's answer to a report.
@@ -129,6 +135,10 @@
 	Evacuated        []fleet.ZoneID
 	OperatorRevision fleet.Revision
 	Holders          holderNews
+	Orders           map[fleet.ServiceID]rollout.Order
+	// Rollouts are the leader's directives, nil if it does not know them yet.
+	Rollouts   []rollout.Directive
+	RolloutSeq uint64 // version of the directives
 }
 
 // collectReport returns a report of what was observed since the last one.
@@ -157,6 +167,7 @@
 	if m := r.holderMap.Load(); m != nil {
 		rep.MapVersion = m.Version
 	}
+	r.addEvidence(now, &rep)
 	return rep
 }
 
@@ -176,6 +187,9 @@
 			rep.Urgent = true
 			r.addHolderReport(now, &rep)
 		}
+		if r.urgentEvidence {
+			rep.Urgent, r.urgentEvidence = true, false
+		}
 		r.mu.Unlock()
 		maps.DeleteFunc(reported, func(run balance.Run, _ bool) bool { return !slices.Contains(runs, run) })
 		for _, run := range runs {
@@ -342,7 +356,8 @@
 	r.applyHolderNews(repliedAt, rp.Holders)
 	r.mu.Unlock()
 	r.applyOperator(repliedAt, rp)
-	defer r.mergeLimits(now, rp.Limits, "leader") // after the upstreams are listed
+	defer func() { r.applyDirectives(now, repliedAt, rp.Rollouts, rp.RolloutSeq) }() // after the upstreams are listed
+	defer r.mergeLimits(now, rp.Limits, "leader")                                    // after the upstreams are listed
 	if newer && (changed || fromStore) {
 		if !changed {
 			list = r.listReplica.apply(rp.Term, rp.List)
@@ -360,7 +375,7 @@
 	if rp.OperatorRevision == 0 {
 		return
 	}
-	next := OperatorState{Evacuated: make(map[fleet.ZoneID]bool), Revision: rp.OperatorRevision}
+	next := OperatorState{Evacuated: make(map[fleet.ZoneID]bool), Revision: rp.OperatorRevision, Orders: rp.Orders}
 	for _, zone := range rp.Evacuated {
 		next.Evacuated[zone] = true
 	}
@@ -444,6 +459,9 @@
 	if rep.OperatorSeq != r.operatorSeq || rep.Restorations != l.restorations {
 		return true
 	}
+	if r.directives != nil && rep.RolloutSeq > 0 && rep.RolloutSeq != r.directivesSeq {
+		return true
+	}
 	return rep.ListTerm != l.term || rep.ListSeq != r.leaderList.seq
 }
 
@@ -454,7 +472,7 @@
 	op := r.operatorState.Load()
 	rp.OperatorTag = op.Tag()
 	if op != nil && op.Table != nil && rep.OperatorTag != rp.OperatorTag {
-		rp.OperatorRevision, rp.Evacuated = op.Revision, slices.Sorted(maps.Keys(op.Evacuated))
+		rp.OperatorRevision, rp.Evacuated, rp.Orders = op.Revision, slices.Sorted(maps.Keys(op.Evacuated)), op.Orders
 		if !sameConfiguration(rep.OperatorTag, rp.OperatorTag) {
 			rp.Source = op.Source
 		}
@@ -478,6 +496,7 @@
 		rp.Demand = r.totalDemand // sent as often as the instance reports its own; nil until known
 	}
 	rp.OperatorAge = now.Sub(r.operatorConfirmedAt)
+	rp.Rollouts, rp.RolloutSeq = r.directives, r.directivesSeq
 	if rep.ListTerm != l.term {
 		rep.ListSeq = 0
 	}
@@ -511,6 +530,7 @@
 	}
 	r.learnLeaving(now, l, rep)
 	r.observeAdmission(now, l, rep)
+	mergeEvidence(l, rep)
 	if rep.Instance != r.cfg.Instance {
 		r.mergeLimits(now, rep.Limits, "report of "+string(rep.Instance))
 	}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -19,6 +19,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 	"github.com/parsleyproxy/parsleyproxy/internal/quota"
+	"github.com/parsleyproxy/parsleyproxy/internal/rollout"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -120,14 +121,21 @@
 
 	inFlightSeqReceived uint64 // last version of the leader's limits in flight that this instance has
 	responseSizes       responseSizes
+	// Roll-outs of versions.
+	gate               *rollout.Gate
+	collector          *rollout.Collector
+	rolloutSeqReceived uint64 // version of the leader's directives that gate has
+	urgentEvidence     bool   // that the leader has to get at once
 
 	// Data for replies, if this instance leads.
-	leadership  *leadership   // nil unless this instance leads
-	update      chan struct{} // closed when there is an update for held reports
-	leaderList  *leaderList
-	recentMaps  map[keyspace.MapVersion]*keyspace.Map // base maps for the changes in replies
-	operatorSeq uint64                                // version of the operator state; counts its changes
-	totalDemand map[fleet.AccountID]float64           // requests/s of all instances
+	directives    []rollout.Directive // nil until known
+	directivesSeq uint64              // counts the changes of directives
+	leadership    *leadership         // nil unless this instance leads
+	update        chan struct{}       // closed when there is an update for held reports
+	leaderList    *leaderList
+	recentMaps    map[keyspace.MapVersion]*keyspace.Map // base maps for the changes in replies
+	operatorSeq   uint64                                // version of the operator state; counts its changes
+	totalDemand   map[fleet.AccountID]float64           // requests/s of all instances
 }
 
 // New returns an instance, to be started by Run.
@@ -152,6 +160,7 @@
 	r.splitter = routes.NewSplitter(r.rng)
 	r.admission = &admissionState{gate: admission.NewGate(now, r.rng), retries: make(map[string]*admission.Retries)}
 	r.holderLoads = newHolderLoads(r.rng)
+	r.gate, r.collector = rollout.NewGate(r.rng), rollout.NewCollector(r.boot)
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
 	r.accounts.questions.send, r.accounts.logFailure = r.askAccountHome, r.logAccountHomeFailure
