http1: an abandoned body leaves room for the next request at once

Cause: TestResponseBeforeReset failed once beside other tests: the share of a body whose response had arrived early was held until its writer ended, so that the next body of 8 MiB to the address was refused. Change: the share is dropped when the rest is abandoned.

--- a/internal/direct/holders_model_test.go
+++ b/internal/direct/holders_model_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/rollout"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -200,6 +201,7 @@
 
 func (m *holdersModel) newModelRouter(id fleet.InstanceID, list []balance.Registration) *Router {
 	r := &Router{cfg: Settings{Instance: id}, rng: rand.New(rand.NewPCG(m.cfg.seed, uint64(len(m.instances))+2))}
+	r.gate = rollout.NewGate(r.rng)
 	r.holderLoads = newHolderLoads(r.rng)
 	r.upstreams = balance.New(id, r.rng, func(fleet.ServiceID) (time.Duration, fleet.PerSecond) { return 0, 0 })
 	r.upstreams.Replace(modelStart, list)
--- a/internal/http1/requestwrite.go
+++ b/internal/http1/requestwrite.go
@@ -121,10 +121,12 @@
 type bodyWriter struct {
 	conn  net.Conn
 	stall time.Duration
-	share *bodyShare
+	share *bodyShare // held from start until dropShare
 
+	dropOnce sync.Once
 	mu       sync.Mutex
 	rest     [][]byte // not copied for writing yet
+	started  bool     // the share is held
 	answered bool     // the response has begun to arrive
 	ended    bool     // the request has ended, so that nothing more is written
 	finished bool     // nothing more is written, for whatever reason
@@ -150,9 +152,20 @@
 	return &bodyWriter{conn: pc.conn, stall: stall, share: share, rest: append([][]byte(nil), req.bodyChunks()...)}
 }
 
-// run writes the body.
+// start writes the body on a goroutine of its own.
+func (w *bodyWriter) start() {
+	w.share.holders.Add(1)
+	w.mu.Lock()
+	w.started = true
+	w.mu.Unlock()
+	go w.run()
+}
+
+// dropShare drops the share of w, once.
+func (w *bodyWriter) dropShare() { w.dropOnce.Do(w.share.drop) }
+
 func (w *bodyWriter) run() {
-	defer w.share.drop()
+	defer w.dropShare()
 	buf := pieceBuffers.Get().(*[writePieceSize]byte)
 	defer pieceBuffers.Put(buf)
 	for {
@@ -273,15 +286,19 @@
 	_ = w.conn.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
-// abandon releases the rest of the body. The caller then resets the connection, which ends
-// a write in progress.
+// abandon releases the rest of the body and its share, so that the next request finds room
+// before the write in progress has ended. The caller resets the connection, which ends it.
 func (w *bodyWriter) abandon() {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.rest, w.ended = nil, true
+	started := w.started
+	w.mu.Unlock()
+	if started {
+		w.dropShare()
+	}
 }
 
 // failure returns why writing has failed, or nil.
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -296,8 +296,7 @@
 		}
 		w.finish(err)
 	case err == nil && w != nil:
-		share.holders.Add(1)
-		go w.run()
+		w.start()
 	}
 	if w != nil {
 		accept = w.accepting(accept)
