--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -100,7 +100,7 @@
 		t.Accounts[a.ID] = a
 	}
 	for i := range list {
-		host := canonicalHost(list[i].Host)
+		host := CanonicalHost(list[i].Host)
 		t.routesByHost[host] = append(t.routesByHost[host], &list[i])
 		t.Problems = append(t.Problems, t.problems(&list[i])...)
 		for _, p := range list[i].TrafficShares {
@@ -128,7 +128,9 @@
 	return list
 }
 
-func canonicalHost(host string) string {
+// CanonicalHost returns the form of a host in which it is compared: without port, in lower
+// case.
+func CanonicalHost(host string) string {
 	name, _, _ := strings.Cut(host, ":")
 	return strings.ToLower(name)
 }
@@ -138,7 +140,7 @@
 
 // Match returns the route of host with the longest matching prefix of path, or nil.
 func (t *Table) Match(host, path string) *Route {
-	for _, r := range t.routesByHost[canonicalHost(host)] {
+	for _, r := range t.routesByHost[CanonicalHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
