parsleyproxy check: check a configuration before it is stored

Change: parsleyproxy check FILE [--in-force FILE] [--memory MiB] [--json] prints findings and differences.

--- a/cmd/parsleyproxy/main.go
+++ b/cmd/parsleyproxy/main.go
@@ -50,6 +50,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			frontCommand(),
+			checkCommand(),
 			catalogueCommand(),
 			entryCommand(),
 			accountCommand(),
