hostile: the probe for changed limits sends its whole body

TestLimitsChangeOnOpenConnections failed in one of three runs: its probe stated a body and sent none, so that a probe sent before the new limits were in force was waited for until the body timeout of 15 s, and the connections under test passed the new idle timeout meanwhile. The probe now sends the body: 200 before the change, 413 after it.

--- a/hostile/limits_test.go
+++ b/hostile/limits_test.go
@@ -140,7 +140,8 @@
 			return false
 		}
 		defer c.end()
-		return r.status(c, head("POST", to, 1, fmt.Sprintf("Content-Length: %d\r\n", maxBody/2+1))) == http.StatusRequestEntityTooLarge
+		whole := head("POST", to, 1, fmt.Sprintf("Content-Length: %d\r\n", maxBody/2+1)) + strings.Repeat("x", maxBody/2+1)
+		return r.status(c, whole) == http.StatusRequestEntityTooLarge
 	})
 	for name, tc := range limitedRequests(to, 8192, maxBody/2) {
 		t.Run(name, func(t *testing.T) {
