direct: retry delays within the time of callers; the first report to a leader is no load

A refusal at a full holder stated a Retry-After of up to twice the expected wait, also if that is more than a third of the caller's remaining time, after which callers do not return. Such delays are now bounded by 0.3 of that time.

The first report of an instance to a new leader has the requested keys since the former one was lost. The leader counted them as those of one interval, so that keys counted as too hot and moved.

--- a/internal/direct/holders.go
+++ b/internal/direct/holders.go
@@ -21,6 +21,28 @@
 	}
 }
 
+// callerTimeLeft returns the time until the deadline of the caller of x, which may be later
+// than that of x by its route, or 0 if the caller has stated none.
+func (x *exchange) callerTimeLeft(now time.Time) time.Duration {
+	if x.info.Timeout <= 0 {
+		return 0
+	}
+	return max(x.info.Timeout-now.Sub(x.receivedAt), minCallerTime)
+}
+
+// minCallerTime stands for the time left of a caller whose deadline has passed.
+const minCallerTime = time.Millisecond
+
+// retryDelayWithin bounds a retry delay by the time that a caller with the given time left
+// waits. It does not return after a longer one, although its request might be served. If
+// left is 0 it is unknown.
+func retryDelayWithin(delay, left time.Duration) time.Duration {
+	if left <= 0 {
+		return delay
+	}
+	return min(delay, max(time.Duration(callerWaitShare*float64(left)), retryAfterFull))
+}
+
 // refuseHotKey refuses x if its key is too hot for its holder and x is beyond the share of
 // the requests that the holder serves. It returns false if x is to be sent. Such requests do
 // not count as demand for the holder, whose other keys have room.
@@ -55,14 +77,15 @@
 	if x.sends.close() { // an earlier attempt may have run
 		return refuse(http.StatusBadGateway, "upstream-lost", retryAfterHolderLost), true
 	}
-	return refuse(http.StatusServiceUnavailable, verdict.reason(), retryAfter), true
+	return refuse(http.StatusServiceUnavailable, verdict.reason(), retryDelayWithin(retryAfter, x.callerTimeLeft(now))), true
 }
 
 // holderRetryDelay returns the retry delay of a request that its holder has refused.
 func (r *Router) holderRetryDelay(now time.Time, x *exchange, upstream *balance.Entry) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.holderLoads.roomIn(now, upstream, r.upstreams.Capacity(now, upstream), x.route.Target)
+	delay := r.holderLoads.roomIn(now, upstream, r.upstreams.Capacity(now, upstream), x.route.Target)
+	return retryDelayWithin(delay, x.callerTimeLeft(now))
 }
 
 // noteSentToHolder counts a request that is sent to the holder of its key.
@@ -104,6 +127,21 @@
 	rep.HolderLoads = r.holderLoads.takeNews(now)
 }
 
+// countKeys adds the requested keys of a report to the load of the keys. It must not be called
+// for the first report of an instance to this leader: that has the requests since the former
+// leader was lost, which would make all keys look several times busier than they are.
+func (l *leadership) countKeys(rep report) {
+	for id, keys := range rep.Keys {
+		counter := l.coordinator.LoadCounter(id)
+		if counter == nil {
+			continue
+		}
+		for _, k := range keys {
+			counter.Add(k)
+		}
+	}
+}
+
 // holderNews returns what a reply tells of holders. The caller must hold mu.
 func (r *Router) holderNews(now time.Time) holderNews {
 	return holderNews{Loads: r.holderLoads.long(now, r.holderCapacity(now)), HotKeys: r.holderLoads.planned, Age: now.Sub(r.holderLoads.plannedAt)}
--- a/internal/direct/holders_model_test.go
+++ b/internal/direct/holders_model_test.go
@@ -281,6 +281,9 @@
 		if verdict == longQueue {
 			m.reportEarly(in)
 		}
+		if verdict != keyTooHot {
+			wait = retryDelayWithin(wait, x.deadline-m.now)
+		}
 		m.refuse(x, wait)
 		return
 	}
@@ -338,7 +341,7 @@
 		c.fullRefusals++
 		m.reportEarly(x.instance)
 		m.answered(x, balance.Full, u.load(m))
-		m.refuse(x, m.fullRetryAfter(x))
+		m.refuse(x, retryDelayWithin(m.fullRetryAfter(x), x.deadline-m.now))
 	}
 }
 
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -518,15 +518,10 @@
 	if demand == nil {
 		demand = l.members[rep.Instance].demand
 	}
+	_, reported := l.members[rep.Instance]
 	l.members[rep.Instance] = member{addr: rep.Addr, heardAt: now, demand: demand, storeAge: rep.StoreAge, restorations: rep.Restorations}
-	for id, keys := range rep.Keys {
-		h := l.coordinator.LoadCounter(id)
-		if h == nil {
-			continue
-		}
-		for _, k := range keys {
-			h.Add(k)
-		}
+	if reported {
+		l.countKeys(rep)
 	}
 	r.learnLeaving(now, l, rep)
 	r.observeAdmission(now, l, rep)
