direct: refusals for keys are true after an attempt that may have run

A repeatable request whose first attempt was lost got 503 if its repetition met a holder that was full, paused, limited or gone, although 503 promises that it has not run. Only the refusal before a repetition at a full holder checked this. All refusals of forwardToHolder do now, and give 502 in that case; the test got 503 for no-map before.

--- a/internal/direct/holder.go
+++ b/internal/direct/holder.go
@@ -12,8 +12,17 @@
 )
 
 // forwardToHolder sends x to the upstream that holds its key. It waits while the key is
-// being moved.
+// being moved. A refusal promises that x has not run only if no attempt may have run it.
 func (r *Router) forwardToHolder(ctx context.Context, x *exchange) outcome {
+	out := r.tryHolder(ctx, x)
+	if out.reason != "" && promisesNotRun(out.status) && x.sends.close() {
+		return refuse(http.StatusBadGateway, "upstream-lost", retryAfterHolderLost)
+	}
+	return out
+}
+
+// tryHolder is forwardToHolder without regard to earlier attempts in refusals.
+func (r *Router) tryHolder(ctx context.Context, x *exchange) outcome {
 	if !x.info.HasRoutingKey {
 		return refuse(http.StatusBadRequest, "no-routing-key", 0)
 	}
--- a/internal/direct/holders_review_test.go
+++ b/internal/direct/holders_review_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -47,3 +48,18 @@
 		}
 	}
 }
+
+// Guards against a refusal that promises that a request has not run after an attempt that may
+// have run it, if the holder of its key was lost before the repetition.
+func TestRefusalAfterLostAttemptIsTrue(t *testing.T) {
+	r, _ := holderRouter("a")
+	for mayHaveRun, want := range map[bool]int{false: http.StatusServiceUnavailable, true: http.StatusBadGateway} {
+		x := keyExchange(time.Now().Add(-time.Second))
+		if mayHaveRun {
+			_ = x.sends.begin(1)
+		}
+		if out := r.forwardToHolder(t.Context(), x); out.status != want {
+			t.Errorf("may have run %t: refused with %d for %q, want %d", mayHaveRun, out.status, out.reason, want)
+		}
+	}
+}
