direct: a smaller model of holders

The model also counted bytes, moves, queues and outcomes that no test checks, and had options that no test sets.

--- a/internal/direct/holders_test.go
+++ b/internal/direct/holders_test.go
@@ -3,17 +3,28 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 )
 
-func (c *modelCounts) add(o modelCounts) {
-	c.requests, c.onTime, c.late, c.refused, c.failed = c.requests+o.requests, c.onTime+o.onTime, c.late+o.late, c.refused+o.refused, c.failed+o.failed
-	c.fullRefusals, c.sent, c.refusals, c.waited = c.fullRefusals+o.fullRefusals, c.sent+o.sent, c.refusals+o.refusals, c.waited+o.waited
-	c.sentTo = append(c.sentTo, o.sentTo...)
+// largeModel is a fleet with the load of deployment S.
+func largeModel(seed uint64) modelConfig {
+	return modelConfig{
+		instances: 80, upstreams: 230, rate: 1400, report: 700 * time.Millisecond, seed: seed,
+		bursts: []modelBurst{
+			{"60-keys", 14 * time.Second, 18500 * time.Millisecond, 60, 0.38},
+			{"200-keys", 24 * time.Second, 28500 * time.Millisecond, 200, 0.38},
+			{"one-key", 34 * time.Second, 39 * time.Second, 1, 0.16},
+		},
+	}
 }
 
-// runModels returns the sums of the counts of several runs, by phase, and the largest number
+// smallModel is a fleet of 12 instances with the same load on each upstream.
+func smallModel(seed uint64) modelConfig {
+	c := largeModel(seed)
+	c.instances, c.upstreams, c.report, c.rate = 12, 12, 300*time.Millisecond, 1400*12/230.0
+	return c
+}
+
+// runModels returns the sums of the counts of several runs, by burst, and the largest number
 // of shards.
 func runModels(t *testing.T, seeds int, config func(uint64) modelConfig) (map[string]*modelCounts, int) {
 	t.Helper()
@@ -21,23 +32,18 @@
 	for seed := range uint64(seeds) {
 		m := newHoldersModel(config(seed))
 		m.run()
-		for i, p := range m.phases {
-			name := "steady"
-			if i < len(m.cfg.bursts) {
-				name = m.cfg.bursts[i].name
-			}
+		for name, c := range m.counts {
 			if sums[name] == nil {
 				sums[name] = &modelCounts{}
 			}
-			sums[name].add(*p)
-			t.Logf("seed %d, %s: %v; %d moves of %.2f of the keys", seed, name, *p, m.moves[i], float64(m.keysMoved[i])/keyspace.Keys)
+			sums[name].requests += c.requests
+			sums[name].onTime += c.onTime
+			sums[name].fullRefusals += c.fullRefusals
 		}
 		shards = max(shards, m.maxShards)
-		perSecond := float64(m.cfg.instances) * (m.cfg.until - 5*time.Second).Seconds()
-		t.Logf("seed %d: %.0f bytes/s in reports and %.0f in replies for each instance", seed, float64(m.messages.reports)/perSecond, float64(m.messages.replies)/perSecond)
 	}
 	for name, c := range sums {
-		t.Logf("all, %s: %v", name, *c)
+		t.Logf("all, %s: %5d requests: on time %.3f, refused by full holders %.3f", name, c.requests, float64(c.onTime)/float64(c.requests), float64(c.fullRefusals)/float64(c.requests))
 	}
 	return sums, shards
 }
