http1: read parts of a large response count as progress

serverConn.writingSince was the start of the whole write of a response. A large response whose caller read steadily for more than minUnreadTime therefore looked unread since its start, and its connection could be evicted when memory or the places of requests were nearly used up, although its request had run.

A response is now written in pieces of at most 32 KiB, and the end of each counts as progress. WriteTimeout applies to each piece.

--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -22,6 +22,10 @@
 	// Closing a socket that has unread bytes resets it, and the reset can overtake the
 	// last response.
 	lingerTimeout = 300 * time.Millisecond
+	// maxWritePiece is the largest size in bytes of one write of a response. The end of each
+	// counts as progress of its reader. Links that bring less of it in minUnreadTime are slow
+	// enough to be evicted.
+	maxWritePiece = 32 << 10
 )
 
 // serverConn is a connection of a Server. nbhttp writes responses to it.
@@ -29,7 +33,8 @@
 	net.Conn
 	server *Server
 	addr   string // of the peer, without its port
-	// writingSince is when the write in progress began, in ns since 1970; 0 if there is none.
+	// writingSince is when the write in progress, of at most maxWritePiece, began, in ns since
+	// 1970; 0 if there is none.
 	writingSince atomic.Int64
 	// interimMu keeps an interim response from being written while a response is.
 	interimMu sync.Mutex
@@ -307,24 +312,35 @@
 // Write writes b, and fails once the peer has read nothing, or less than MinRate, for
 // WriteTimeout.
 func (c *serverConn) Write(b []byte) (int, error) {
-	written := 0
-	now := time.Now()
-	c.writingSince.Store(now.UnixNano())
 	defer c.writingSince.Store(0)
+	written := 0
+	for {
+		n, err := c.writePiece(b[written:min(len(b), written+maxWritePiece)])
+		written += n
+		if err != nil {
+			c.writeFailed(err)
+		}
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// writePiece writes b like Write.
+func (c *serverConn) writePiece(b []byte) (int, error) {
+	written := 0
 	minProgress := max(1, int(float64(c.server.cfg.MinRate)*c.server.cfg.WriteTimeout.Seconds()))
 	for {
+		now := time.Now()
+		c.writingSince.Store(now.UnixNano())
 		if err := c.Conn.SetWriteDeadline(now.Add(c.server.cfg.WriteTimeout)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(b[written:])
 		written += n
 		if n >= minProgress && errors.Is(err, os.ErrDeadlineExceeded) {
-			now = time.Now()
 			continue // the peer reads slowly
 		}
-		if err != nil {
-			c.writeFailed(err)
-		}
 		return written, err
 	}
 }
