http1: the idle time begins once the response has been written

endRequest set serverConn.idleSince when the handler returned, before nbhttp wrote the response. If a caller took longer than the margin of the idle timeout to read a large response and then reused the connection after four fifths of the timeout, the server could have closed it.

finishSlot, which is called after the write, sets idleSince now.

TestIdleTimeBeginsAfterTheResponse fails without the change. go test -race ./internal/http1 passed.

--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -148,6 +148,7 @@
 	s.mu.Lock()
 	pipe := slot.pipeline
 	pipe.inFlight--
+	pipe.conn.idleSince = time.Now()
 	s.uncountRequest(slot)
 	if pipe.writing == slot {
 		pipe.writing = nil
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -393,11 +393,10 @@
 }
 
 // endRequest unregisters a request whose handler has returned. The end of its
-// response may still be unwritten; the connection counts as idle once finishSlot has
-// also been called.
+// response may still be unwritten; the connection counts as idle from the call of
+// finishSlot on.
 func (s *Server) endRequest(x *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(x.conn.inFlight, x)
-	x.conn.idleSince = time.Now()
 }
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -47,7 +47,7 @@
 	receivedAt   time.Time              // when bytes were read last
 	refusedBody  bool                   // the rest of a refused body may follow
 	lingerSince  time.Time              // when Close was called first
-	idleSince    time.Time              // when the last request ended; not meaningful while requests are in flight
+	idleSince    time.Time              // when the last response was written; not meaningful while requests are in flight
 	progress     progress               // of the request that is being received
 	owner        string                 // that CheckHead stated last
 	evicted      bool                   // counts in Server.evicting until it is closed
