direct: metrics requests above their bound are refused

ServerConfig.MaxRequests has an effect only if the handler asks for the body, in whose place the server states that there are too many requests. The handler of the metrics does not, so the 64 requests in docs/limits.md bounded nothing there: each connection could have 16 responses of the size of all metrics waiting.

refuseUnreceived asks for the body first. Readiness checks are still answered in any case, as an instance must not lose its readiness to a flood of them.

--- a/internal/direct/callers.go
+++ b/internal/direct/callers.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -189,3 +190,15 @@
 	}
 	r.log.Warn("connections of callers refused or closed", fields...)
 }
+
+// refuseUnreceived refuses the requests that a server has not received completely, or that
+// exceed ServerConfig.MaxRequests, for a handler that does not read bodies.
+func refuseUnreceived(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if _, err := http1.RequestBody(req); err != nil {
+			w.WriteHeader(refuseBody(err).status)
+			return
+		}
+		h.ServeHTTP(w, req)
+	})
+}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -207,7 +207,7 @@
 		{Addr: r.cfg.PeerListen, Handler: http.HandlerFunc(r.servePeer), MaxBody: maxPeerBody, Bodies: http1.NewBodyBudget(maxPeerBodies), SmallBodies: http1.NewBodyBudget(maxSmallPeerBodies)},
 	}
 	if r.cfg.MetricsListen != "" {
-		servers = append(servers, http1.ServerConfig{Addr: r.cfg.MetricsListen, Handler: r.metrics.Handler(), MaxBody: maxProbeBody, MaxConns: shares.probes, MaxRequests: maxProbeRequests, Bodies: probes})
+		servers = append(servers, http1.ServerConfig{Addr: r.cfg.MetricsListen, Handler: refuseUnreceived(r.metrics.Handler()), MaxBody: maxProbeBody, MaxConns: shares.probes, MaxRequests: maxProbeRequests, Bodies: probes})
 	}
 	for _, cfg := range servers {
 		cfg.ReadTimeout, cfg.Limits.HeadTimeout, cfg.MinRate = serverReadTimeout, defaultHeadTimeout, minCallerRate
