rollout: bounds on counts and times of messages and records

Cause: evidence with a negative number of requests in flight to old upstreams hid those of other instances, large counts overflowed in sums, and a record with a share above 1 led to directives that no instance accepts. Change: counts are 0 to 2^32-1, shares 0 to 1, times those of a time.Duration.

--- a/internal/rollout/evidence_codec.go
+++ b/internal/rollout/evidence_codec.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"math"
+
 	"github.com/go-faster/errors"
 	"github.com/go-faster/jx"
 
@@ -26,16 +28,25 @@
 func decodeInts(d *jx.Decoder) ([]int, error) {
 	var list []int
 	err := d.Arr(func(d *jx.Decoder) error {
-		n, err := d.Int()
-		if err == nil && n < 0 {
-			err = errors.Errorf("want 0 or more, not %d", n)
-		}
+		n, err := decodeCount(d)
 		list = append(list, n)
 		return err
 	})
 	return list, err
 }
 
+// maxCount bounds the counts of a message, so that no sum over instances overflows. It is
+// that of Tally.Bads.
+const maxCount = math.MaxUint32
+
+func decodeCount(d *jx.Decoder) (int, error) {
+	n, err := d.Int64()
+	if err == nil && (n < 0 || n > maxCount) {
+		err = errors.Errorf("want 0 to %d, not %d", int64(maxCount), n)
+	}
+	return int(n), err
+}
+
 func decodeTimes(d *jx.Decoder) (Times, error) {
 	var t Times
 	pairs, err := decodeInts(d)
@@ -136,9 +147,9 @@
 		case "step":
 			v.Step, err = d.UInt64()
 		case "old-open":
-			v.OldOpen, err = d.Int()
+			v.OldOpen, err = decodeCount(d)
 		case "arrivals":
-			v.Arrivals, err = d.Int()
+			v.Arrivals, err = decodeCount(d)
 		case "routes":
 			err = d.Obj(func(d *jx.Decoder, name string) error {
 				r := &RouteTally{}
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -89,6 +90,10 @@
 	return e.Bytes()
 }
 
+// maxRecorded bounds the counts and the times in ms of a record, so that none overflows as a
+// time.Duration.
+const maxRecorded = math.MaxInt64 / int64(time.Millisecond)
+
 // DecodeRecord parses a record that Encode returned.
 func DecodeRecord(data []byte) (Record, error) {
 	var r Record
@@ -100,11 +105,14 @@
 			s, err = d.Str()
 		case "order", "duration-ms", "elapsed-ms", "sent", "arrivals":
 			n, err = d.Int64()
-			if err == nil && n < 0 {
-				err = errors.Errorf("%s: want 0 or more, not %d", field, n)
+			if err == nil && (n < 0 || n > maxRecorded && field != "order") {
+				err = errors.Errorf("%s: want 0 to %d, not %d", field, int64(maxRecorded), n)
 			}
 		case "share":
 			r.Share, err = d.Float64()
+			if err == nil && !(r.Share >= 0 && r.Share <= 1) {
+				err = errors.Errorf("want a share from 0 to 1, not %v", r.Share)
+			}
 		case "settled":
 			r.Settled, err = d.Bool()
 		default:
