rollout: the share for the verdict does not grow with the number of routes

Cause: each route got up to half of all requests times the share, so that the upstreams of the new version, which are as many as the share, got several times the load that they will have, and looked slow. Change: with n routes, up to 1/n.

--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -61,9 +61,11 @@
 }
 
 const (
-	// evenShare is the share of all requests up to which a route gets more than its part of
-	// an even directive, and maxBoost how many times its part it gets at most: a verdict
-	// needs about as many responses of each route.
+	// evenShare is the largest share of all requests up to which a route gets more than its
+	// part of an even directive, and maxBoost how many times its part it gets at most: a
+	// verdict needs about as many responses of each route. With n routes the share is 1/n at
+	// most, since the upstreams of the new version would get several times their load
+	// otherwise.
 	evenShare = 0.5
 	maxBoost  = 4
 )
@@ -131,7 +133,8 @@
 	_, r.position = math.Modf(r.position + 1/math.Phi)
 	share := g.directives[id].Share
 	if g.directives[id].Even {
-		share *= min(maxBoost, max(1, evenShare*float64(p.total)/float64(r.n)))
+		even := min(evenShare, 1/float64(len(p.routes)))
+		share *= min(maxBoost, max(1, even*float64(p.total)/float64(r.n)))
 	}
 	return r.position < share
 }
