rollout: a new leader counts the rate of arrivals from when all have reported

Cause: the totals that instances report one after the other to a new leader counted as arrivals since its start. The rate that mayShift compares with the bound was several times the true one, and so was the bound. Change: the count begins again when most instances have reported. A rate is used after 0.5 s; until then only a version without doubt gets a larger share.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -52,6 +52,8 @@
 	// undecidedShare is the share of the order's duration after which a leader without a
 	// verdict says so.
 	undecidedShare = 0.6
+	// minRateTime is the time over which arrivals are counted before their rate is used.
+	minRateTime = 500 * time.Millisecond
 	// forgetMargin is how long before the end of the duration the leader stops waiting for
 	// instances that have been silent for so long that they were removed.
 	forgetMargin = time.Second
@@ -289,6 +291,7 @@
 	if !c.resetAt.IsZero() && !now.Before(c.resetAt) {
 		c.compared.reset()
 		c.resetAt = time.Time{}
+		c.firstAt = time.Time{} // the counts of instances that reported later are no arrivals since then
 	}
 	if c.firstAt.IsZero() && in.Totals.Arrivals > 0 {
 		c.firstAt, c.firstSeen = now, in.Totals.Arrivals
@@ -368,19 +371,19 @@
 	}
 }
 
-// rate returns the requests per second that reach the service.
-func (c *Controller) rate(now time.Time) float64 {
-	d := now.Sub(c.firstAt).Seconds()
-	if c.firstAt.IsZero() || d <= 0 {
-		return 0
+// rate returns the requests per second that reach the service, or false if they have not
+// been counted for long enough.
+func (c *Controller) rate(now time.Time) (perSecond float64, known bool) {
+	d := now.Sub(c.firstAt)
+	if c.firstAt.IsZero() || !c.resetAt.IsZero() || d < minRateTime {
+		return 0, false
 	}
-	return float64(c.in.Totals.Arrivals-c.firstSeen) / d
+	return float64(c.in.Totals.Arrivals-c.firstSeen) / d.Seconds(), true
 }
 
 // mayShift reports whether the version may get a share of the requests: it has upstreams
-// for them, and a fault that shows
-// only then must be noticed before the bound is reached, unless there is no doubt that the
-// version is good.
+// for them, and a fault that shows only then must be noticed before the bound is reached,
+// unless there is no doubt that the version is good.
 func (c *Controller) mayShift(now time.Time, share float64) bool {
 	reaction := reactionTime
 	if c.in.Sharded {
@@ -390,7 +393,10 @@
 		return false
 	}
 	sent, arrivals := c.counts()
-	rate := c.rate(now)
+	rate, known := c.rate(now)
+	if !known {
+		return c.compared.sure()
+	}
 	left := max(0, c.rec.Order.Duration-c.elapsed(now)).Seconds()
 	expected := float64(sent) + share*rate*reaction.Seconds()
 	return expected <= c.bounds.Share*(float64(arrivals)+rate*left)+c.bounds.Slack || c.compared.sure()
