rollout, direct: a restarted instance has not applied the directives

Cause: the leader kept the evidence of the run before as long as the new run had reported nothing of the roll-out, and counted the instance as one that applies the directive without requests in flight to the old version. completed could be written while the new run, which has no directives yet, uses old upstreams. Change: a report without a version of the directives ends the evidence of the run before; its counts stay in the totals.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -39,6 +39,7 @@
 	if l.silent == nil {
 		l.silent = make(map[fleet.InstanceID]time.Time)
 	}
+	maps.DeleteFunc(l.silent, func(_ fleet.InstanceID, at time.Time) bool { return now.Sub(at) >= silentInstanceTime })
 	l.silent[id] = now
 }
 
@@ -59,6 +60,13 @@
 // mergeEvidence adds the evidence of a report to the leader's state.
 func mergeEvidence(l *leadership, rep report) {
 	delete(l.rollouts.silent, rep.Instance)
+	if rep.RolloutSeq == 0 { // this run of the instance has not received directives yet
+		for _, s := range l.rollouts.services {
+			if s.evidence != nil {
+				s.evidence.Restarted(rep.Instance)
+			}
+		}
+	}
 	for _, e := range rep.Rollouts {
 		if s := l.rollouts.services[e.Service]; s != nil && s.evidence != nil {
 			s.evidence.Merge(rep.Instance, e)
--- a/internal/direct/rollouts_test.go
+++ b/internal/direct/rollouts_test.go
@@ -163,3 +163,23 @@
 	d.encode(&e)
 	return jx.DecodeBytes(e.Bytes())
 }
+
+// Guards against a roll-out that is completed while the new run of an instance, which has no
+// directives yet, may send requests to the old version, and against a record of each
+// instance that has ever been removed.
+func TestInstancesThatMayUseOldVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &serviceRollout{evidence: rollout.NewAggregate(9)}
+	l := &leadership{rollouts: newRolloutLeader()}
+	l.rollouts.services["svc"] = s
+	mergeEvidence(l, report{Instance: "i", RolloutSeq: 3, Rollouts: []rollout.Evidence{{Service: "svc", Order: 9, Boot: "1", Number: 1, Step: 7}}})
+	mergeEvidence(l, report{Instance: "i"})
+	if applied, _ := s.evidence.Applied("i", 7); applied {
+		t.Error("the new run counts as one that applies the directive")
+	}
+	l.rollouts.noteSilent(now, "a")
+	l.rollouts.noteSilent(now.Add(silentInstanceTime), "b")
+	if n := len(l.rollouts.silent); n != 1 {
+		t.Errorf("%d silent instances, want 1", n)
+	}
+}
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -135,14 +135,28 @@
 		return // reports overtake each other
 	}
 	if known && old.Boot != e.Boot {
-		for _, r := range old.Routes {
-			r.Old.Open, r.New.Open = Times{}, Times{}
-		}
-		a.former.add(old)
+		a.keep(old)
 	}
 	a.instances[id] = e
 }
 
+// Restarted keeps the counts of the run of an instance that has ended. The new run may not
+// apply the directive yet, although it has reported nothing of the roll-out.
+func (a *Aggregate) Restarted(id fleet.InstanceID) {
+	if old, known := a.instances[id]; known {
+		a.keep(old)
+		delete(a.instances, id)
+	}
+}
+
+// keep adds the evidence of a run that has ended, whose requests are no longer in flight.
+func (a *Aggregate) keep(old Evidence) {
+	for _, r := range old.Routes {
+		r.Old.Open, r.New.Open = Times{}, Times{}
+	}
+	a.former.add(old)
+}
+
 // Totals returns the sums over all instances.
 func (a *Aggregate) Totals() Totals {
 	t := Totals{Routes: make(map[string]*RouteTally)}
