rollout: a doubtful version does not keep a share above the bound

Change: during the shift the requests to the new version stop while those that may be sent until a fault has been noticed exceed the bound, unless there was no doubt before, and the leader says that it is undecided.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 )
 
@@ -105,6 +106,7 @@
 	resetAt   time.Time // when the sums for the verdict are reset again; zero if they are not
 	throttled bool
 	undecided bool
+	cleared   bool // during the shift, there was no doubt that the version is good
 	compared  comparison
 	firstAt   time.Time // when arrivals were first reported
 	firstSeen int       // arrivals then
@@ -308,7 +310,7 @@
 			return
 		}
 	}
-	c.throttle()
+	c.throttle(now)
 	c.advance(now)
 }
 
@@ -340,6 +342,9 @@
 		c.noteUndecided(now)
 	case PhaseShift:
 		c.advanceShift(now)
+		if c.throttled {
+			c.noteUndecided(now)
+		}
 	case PhaseFinal:
 		silent := in.Silent > 0 && c.elapsed(now) < c.rec.Order.Duration-forgetMargin
 		if in.Behind == 0 && in.OldOpen == 0 && !in.OldHolders && !silent && now.After(c.phaseAt) {
@@ -385,32 +390,48 @@
 // for them, and a fault that shows only then must be noticed before the bound is reached,
 // unless there is no doubt that the version is good.
 func (c *Controller) mayShift(now time.Time, share float64) bool {
+	if float64(c.in.Upstreams) < minUpstreamsShare*share*float64(c.in.Others) {
+		return false
+	}
+	return c.compared.sure() || c.boundUsed(now, share) <= 1
+}
+
+// boundUsed returns which part of the bound the requests to the new version use that are sent
+// with a share until a fault has been noticed, or +Inf if the rate of arrivals is unknown.
+func (c *Controller) boundUsed(now time.Time, share float64) float64 {
 	reaction := reactionTime
 	if c.in.Sharded {
 		reaction = holderReactionTime
 	}
-	if float64(c.in.Upstreams) < minUpstreamsShare*share*float64(c.in.Others) {
-		return false
-	}
-	sent, arrivals := c.counts()
 	rate, known := c.rate(now)
 	if !known {
-		return c.compared.sure()
+		return math.Inf(1)
 	}
+	sent, arrivals := c.counts()
 	left := max(0, c.rec.Order.Duration-c.elapsed(now)).Seconds()
-	expected := float64(sent) + share*rate*reaction.Seconds()
-	return expected <= c.bounds.Share*(float64(arrivals)+rate*left)+c.bounds.Slack || c.compared.sure()
+	limit := c.bounds.Share*(float64(arrivals)+rate*left) + c.bounds.Slack
+	return (float64(sent) + share*rate*reaction.Seconds()) / limit
 }
 
 // throttle stops the requests to the new version while they are near the bound, as long as
-// there is no verdict.
-func (c *Controller) throttle() {
-	if c.rec.Phase != PhaseProbe && c.rec.Phase != PhaseMeasure {
+// there is no verdict, and during the shift as long as there has been a doubt.
+func (c *Controller) throttle(now time.Time) {
+	throttled := false
+	switch c.rec.Phase {
+	case PhaseProbe, PhaseMeasure:
+		sent, arrivals := c.counts()
+		limit := throttleShare*c.bounds.Share*float64(arrivals) + throttleSlack*c.bounds.Slack
+		throttled = float64(sent) > limit || c.throttled && float64(sent) > resumeShare*limit
+	case PhaseShift:
+		c.cleared = c.cleared || c.compared.sure()
+		if _, known := c.rate(now); !known || c.rec.Share == 1 {
+			return
+		}
+		used := c.boundUsed(now, c.rec.Share)
+		throttled = !c.cleared && (used > 1 || c.throttled && used > resumeShare)
+	default:
 		return
 	}
-	sent, arrivals := c.counts()
-	limit := throttleShare*c.bounds.Share*float64(arrivals) + throttleSlack*c.bounds.Slack
-	throttled := float64(sent) > limit || c.throttled && float64(sent) > resumeShare*limit
 	if throttled != c.throttled {
 		c.throttled = throttled
 		c.step++
