direct: a new leader does not take an order that it has not read for withdrawn

Cause: a leader whose operator state is older than the recorded order found no order, and rolled the version back. Change: orders that were read at a revision before that of the recorded order do not count. Result: TestOrderThatIsNotReadYet passes; the check did not exist before.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -94,7 +94,9 @@
 			continue
 		}
 		order, ordered := op.Orders[id]
-		r.considerOrder(now, l, s, order, ordered)
+		if !s.ordersOutdated(op.Revision) {
+			r.considerOrder(now, l, s, order, ordered)
+		}
 		if s.controller == nil {
 			continue
 		}
@@ -168,6 +170,13 @@
 	}()
 }
 
+// ordersOutdated reports whether orders that were read at the given revision of the store are
+// older than the one that the former leader has recorded. They do not show that it was
+// withdrawn.
+func (s *serviceRollout) ordersOutdated(read fleet.Revision) bool {
+	return s.controller != nil && read < s.controller.Record().Order.Revision
+}
+
 // considerOrder starts a roll-out if there is a new order, and ends one whose order was
 // withdrawn or replaced.
 func (r *Router) considerOrder(now time.Time, l *leadership, s *serviceRollout, order rollout.Order, ordered bool) {
--- a/internal/direct/rollouts_test.go
+++ b/internal/direct/rollouts_test.go
@@ -183,3 +183,19 @@
 		t.Errorf("%d silent instances, want 1", n)
 	}
 }
+
+// Guards against a new leader that rolls a version back because it has not read the order yet.
+func TestOrderThatIsNotReadYet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &serviceRollout{}
+	if s.ordersOutdated(1) {
+		t.Error("orders are outdated without a record")
+	}
+	order := rollout.Order{Service: "svc", Target: "v2", Duration: 12 * time.Second, Revision: fleet.NewRevision(2, 7)}
+	s.controller = rollout.Continue(now, testBounds, rollout.Record{Order: order, Phase: rollout.PhaseMeasure}, 1)
+	for read, want := range map[fleet.Revision]bool{fleet.NewRevision(2, 6): true, fleet.NewRevision(1, 9): true, order.Revision: false, fleet.NewRevision(3, 1): false} {
+		if got := s.ordersOutdated(read); got != want {
+			t.Errorf("orders read at revision %d: outdated %t, want %t", read, got, want)
+		}
+	}
+}
