direct: bounds on times and tokens in messages between instances

Cause: times in ms or us near the largest integer overflowed to any time, and an answer of a home could admit any number of requests. Change: such values are errors. Result: TestTokenRequestCodec failed on three answers before, and passes.

--- a/internal/direct/homes_test.go
+++ b/internal/direct/homes_test.go
@@ -164,7 +164,7 @@
 			t.Errorf("token request %q: no error", text)
 		}
 	}
-	for _, text := range []string{``, `{"admitted":-1}`, `{"rate":1e99}`, `{"lease-ms":-1}`} {
+	for _, text := range []string{``, `{"admitted":-1}`, `{"rate":1e99}`, `{"lease-ms":-1}`, `{"admitted":1000001}`, `{"wait-us":18446744073709552}`, `{"lease-ms":18446744073710}`} {
 		if _, err := decodeGrant([]byte(text)); err == nil {
 			t.Errorf("answer %q: no error", text)
 		}
--- a/internal/direct/rollouts_message.go
+++ b/internal/direct/rollouts_message.go
@@ -6,7 +6,6 @@
 	"net/url"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/go-faster/jx"
 
@@ -115,7 +114,6 @@
 	var o rollout.Order
 	err := d.Obj(func(d *jx.Decoder, field string) (err error) {
 		var s string
-		var n int64
 		switch field {
 		case "service":
 			s, err = d.Str()
@@ -124,8 +122,7 @@
 			s, err = d.Str()
 			o.Target = fleet.VersionID(s)
 		case "duration-ms":
-			n, err = d.Int64()
-			o.Duration = time.Duration(n) * time.Millisecond
+			o.Duration, err = decodeMillis(d)
 		case "order":
 			var revision uint64
 			revision, err = d.UInt64()
--- a/internal/direct/shared.go
+++ b/internal/direct/shared.go
@@ -1,8 +1,10 @@
 package direct
 
 import (
+	"math"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-faster/jx"
 
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
@@ -247,5 +249,8 @@
 
 func decodeMillis(d *jx.Decoder) (time.Duration, error) {
 	ms, err := d.Int64()
+	if limit := math.MaxInt64 / int64(time.Millisecond); err == nil && (ms > limit || ms < -limit) {
+		err = errors.Errorf("want at most %d ms, not %d", limit, ms) // it would overflow
+	}
 	return time.Duration(ms) * time.Millisecond, err
 }
--- a/internal/direct/token_requests_message.go
+++ b/internal/direct/token_requests_message.go
@@ -16,6 +16,8 @@
 	// maxTokenRequestUses its uses: two homes, each counted for 250 ms, over 5 s, are 40.
 	maxWantedTokens     = 1_000_000
 	maxTokenRequestUses = 1000
+	// maxMicros bounds a time in us, which would overflow otherwise.
+	maxMicros = math.MaxInt64 / int64(time.Microsecond)
 )
 
 func encodeTokenRequest(q quota.TokenRequest) []byte {
@@ -193,6 +195,9 @@
 		case "wait-us":
 			var us int64
 			us, err = d.Int64()
+			if us > maxMicros {
+				err = errors.Errorf("wait-us: want at most %d, not %d", int64(maxMicros), us)
+			}
 			g.Wait = time.Duration(us) * time.Microsecond
 		case "lease-ms":
 			g.Lease, err = decodeMillis(d)
@@ -205,7 +210,7 @@
 		}
 		return err
 	})
-	if err == nil && (g.Admitted < 0 || g.Wait < 0 || g.Lease < 0 || !(g.Rate >= 0 && g.Rate <= maxWantedTokens)) {
+	if err == nil && (g.Admitted < 0 || g.Admitted > maxWantedTokens || g.Wait < 0 || g.Lease < 0 || !(g.Rate >= 0 && g.Rate <= maxWantedTokens)) {
 		err = errors.Errorf("invalid grant: %+v", g)
 	}
 	return g, err
