direct: old failures of homes are forgotten

Cause: homeFailedAt kept an entry for each instance that had ever failed to answer, also for instances that no longer exist. Change: a failure removes those that no longer count. Result: TestOldHomeFailuresAreForgotten passes; the map had no removal before.

--- a/internal/direct/homes.go
+++ b/internal/direct/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -116,7 +117,7 @@
 			return d
 		}
 		if ctx.Err() == nil { // else the caller has left
-			r.homeFailedAt[home.ID] = time.Now()
+			r.noteHomeFailure(time.Now(), home.ID)
 		}
 		r.mu.Unlock()
 		l.logFailure(home.ID, c, err)
@@ -144,6 +145,13 @@
 	return available
 }
 
+// noteHomeFailure records that a home did not answer, and forgets failures that no longer
+// count. The caller must hold mu.
+func (r *Router) noteHomeFailure(now time.Time, id fleet.InstanceID) {
+	maps.DeleteFunc(r.homeFailedAt, func(_ fleet.InstanceID, at time.Time) bool { return now.Sub(at) > homeRetryDelay })
+	r.homeFailedAt[id] = now
+}
+
 // withinLimit reports whether the limit of x's account admits x, and if not, the time
 // until it may.
 func (r *Router) withinLimit(ctx context.Context, x *exchange) (bool, time.Duration) {
--- a/internal/direct/homes_test.go
+++ b/internal/direct/homes_test.go
@@ -170,3 +170,13 @@
 		}
 	}
 }
+
+// Guards against a record of each home that has ever failed to answer.
+func TestOldHomeFailuresAreForgotten(t *testing.T) {
+	r, now := rolloutRouter(testBounds), time.Unix(1000, 0)
+	r.noteHomeFailure(now, "a")
+	r.noteHomeFailure(now.Add(2*homeRetryDelay), "b")
+	if n := len(r.homeFailedAt); n != 1 {
+		t.Errorf("%d failures, want 1", n)
+	}
+}
--- a/internal/direct/token_requests.go
+++ b/internal/direct/token_requests.go
@@ -139,7 +139,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	if err != nil {
-		r.homeFailedAt[home.ID] = now
+		r.noteHomeFailure(now, home.ID)
 		l.tokenRequests.requester.Failed(now, key, home.ID)
 		r.mu.Unlock()
 		r.metrics.homeTokenRequests.WithLabelValues("failed").Inc()
