direct: callers return after a refusal for no time

The Retry-After of no-time was the end of the shortest queue, about 2 s or more with a timeout of 2.5 s, while a caller with a deadline of 5 s waits for at most 1.67 s and then gives up. It is now at most 0.3 of the time that the caller has left.

--- a/internal/direct/intime.go
+++ b/internal/direct/intime.go
@@ -45,11 +45,13 @@
 }
 
 // refuseNoTime refuses a request that could not be answered in time. Its caller may return
-// when the shortest queue has ended.
+// when the shortest queue has ended, or as late as it does at all if that is sooner.
 func (r *Router) refuseNoTime(now time.Time, x *exchange) outcome {
 	r.mu.Lock()
 	r.retryBudget(x.service.ID).Withdraw()
 	best, _ := r.upstreams.Earliest(now, x.service.ID, nil)
 	r.mu.Unlock()
-	return r.refusePaused(now, reasonNoTime, now.Add(best.Wait))
+	out := r.refusePaused(now, reasonNoTime, now.Add(best.Wait))
+	out.retryAfter = retryDelayWithin(out.retryAfter, x.callerTimeLeft(now))
+	return out
 }
--- a/internal/direct/intime_test.go
+++ b/internal/direct/intime_test.go
@@ -93,4 +93,8 @@
 	if out.retryAfter < time.Second {
 		t.Errorf("the caller may return after %v, while the queues take longer", out.retryAfter)
 	}
+	x.receivedAt, x.info.Timeout = now, 3*time.Second
+	if out := r.refuseNoTime(now, x); out.retryAfter > time.Second {
+		t.Errorf("the caller may return after %v, while it waits for a third of 3s", out.retryAfter)
+	}
 }
