direct: no 503 of a sharded service after a lost attempt

forwardToHolder repeats a repeatable request whose attempt was lost. If the repetition was then refused (holder full, limited or paused, no holder, retry budget, time ended), the caller got 503, which promises that the request has not run, although the lost attempt may have run or may still do so.

The refusal becomes 502 "upstream-lost" if an attempt that may have run was begun, as forwardToAny does with its earlier failure.

TestRefusalAfterALostAttemptPromisesNothing covers the new function. go test -race ./internal/direct passed.

--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -130,11 +130,20 @@
 	x.cancel = func() { stop(); cancel() }
 	x.ended = func() bool { return ctx.Err() != nil }
 	if x.service.Sharded {
-		return r.forwardToHolder(ctx, x)
+		return x.withoutFalsePromise(r.forwardToHolder(ctx, x))
 	}
 	return r.forwardToAny(ctx, x)
 }
 
+// withoutFalsePromise replaces a refusal that promises that x has not run, if an earlier
+// attempt may have run: a repeated request may be refused after its first attempt was lost.
+func (x *exchange) withoutFalsePromise(out outcome) outcome {
+	if out.upstream == nil && promisesNotRun(out.status) && x.sends.close() {
+		return refuse(http.StatusBadGateway, "upstream-lost", 0)
+	}
+	return out
+}
+
 // refuseBody refuses a request whose body was not received.
 func refuseBody(err error) outcome {
 	switch {
