direct: a queue at a holder may last until the deadline of a request

Cause: requests that would be answered later than the target latency were refused, and many of their repetitions too.

--- a/internal/direct/holderload.go
+++ b/internal/direct/holderload.go
@@ -164,9 +164,8 @@
 // holderRequest is a request for a key, as far as the decision to send it needs it.
 type holderRequest struct {
 	receivedAt, deadline time.Time
-	target               time.Duration // latency of the route
-	repeated             bool          // it has been sent before
-	queueShare           float64       // of the longest queue, by its priority
+	repeated             bool    // it has been sent before
+	queueShare           float64 // of the longest queue, by its priority
 }
 
 // holderVerdict is the decision whether a request is sent to the holder of its key.
@@ -175,8 +174,8 @@
 const (
 	sendToHolder  holderVerdict = iota
 	keyTooHot                   // beyond the share that the holder can serve of the key's requests
-	tooLittleTime               // it would not be answered before its deadline
-	longQueue                   // it would be answered later than the target latency
+	tooLittleTime               // its work alone would not end before its deadline
+	longQueue                   // it would wait too long to be answered before its deadline
 )
 
 // reason returns the reason in the refusal of a request, or "".
@@ -196,21 +195,20 @@
 // decide decides whether a request is sent to the holder of its key, and returns the retry
 // delay if it is not. serviceTime is the usual one of e.
 func (h *holderLoads) decide(now time.Time, q holderRequest, e *balance.Entry, capacity balance.Capacity, serviceTime time.Duration) (holderVerdict, time.Duration) {
-	wait := h.wait(now, e, capacity)
-	needed := wait + serviceTime
-	if wait == 0 && !q.repeated {
-		needed = time.Duration(idleServiceShare * float64(serviceTime))
-	}
-	if left := q.deadline.Sub(now); left < needed {
-		room := max(wait, retryAfterFull)
-		return tooLittleTime, room + h.spread(room)
-	}
+	wait, left := h.wait(now, e, capacity), q.deadline.Sub(now)
 	if wait == 0 {
+		needed := serviceTime
+		if !q.repeated {
+			needed = time.Duration(idleServiceShare * float64(serviceTime))
+		}
+		if left < needed {
+			return tooLittleTime, retryAfterFull + h.spread(retryAfterFull)
+		}
 		return sendToHolder, 0
 	}
-	// A request whose work alone takes longer than the target, or that has waited for its
-	// key to move, may still wait for half of the service time.
-	longest := time.Duration(q.queueShare * float64(max(q.target-now.Sub(q.receivedAt)-serviceTime, serviceTime/2)))
+	// A wait beyond the target latency is accepted: a late answer is worth more to a caller
+	// than a refusal whose repetition may be refused again.
+	longest := time.Duration(q.queueShare * float64(left-serviceTime))
 	jittered := time.Duration(float64(wait) * (1 - waitJitter/2 + waitJitter*h.rng.Float64()))
 	if jittered <= longest {
 		return sendToHolder, 0
--- a/internal/direct/holders.go
+++ b/internal/direct/holders.go
@@ -61,7 +61,7 @@
 func (r *Router) refuseForLoad(now time.Time, x *exchange, upstream *balance.Entry) (outcome, bool) {
 	q := holderRequest{
 		receivedAt: x.receivedAt, deadline: x.deadline,
-		target: x.route.Target, repeated: x.arrivals > 0,
+		repeated:   x.arrivals > 0,
 		queueShare: x.table.QueueShare(x.service.ID, routes.PriorityOf(x.route, x.account)),
 	}
 	r.mu.Lock()
