--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -39,6 +39,7 @@
 	if l.silent == nil {
 		l.silent = make(map[fleet.InstanceID]time.Time)
 	}
+	maps.DeleteFunc(l.silent, func(_ fleet.InstanceID, at time.Time) bool { return now.Sub(at) >= silentInstanceTime })
 	l.silent[id] = now
 }
 
@@ -59,6 +60,13 @@
 // mergeEvidence adds the evidence of a report to the leader's state.
 func mergeEvidence(l *leadership, rep report) {
 	delete(l.rollouts.silent, rep.Instance)
+	if rep.RolloutSeq == 0 { // this run of the instance has not received directives yet
+		for _, s := range l.rollouts.services {
+			if s.evidence != nil {
+				s.evidence.Restarted(rep.Instance)
+			}
+		}
+	}
 	for _, e := range rep.Rollouts {
 		if s := l.rollouts.services[e.Service]; s != nil && s.evidence != nil {
 			s.evidence.Merge(rep.Instance, e)
@@ -86,7 +94,9 @@
 			continue
 		}
 		order, ordered := op.Orders[id]
-		r.considerOrder(now, l, s, order, ordered)
+		if !s.ordersOutdated(op.Revision) {
+			r.considerOrder(now, l, s, order, ordered)
+		}
 		if s.controller == nil {
 			continue
 		}
@@ -160,6 +170,13 @@
 	}()
 }
 
+// ordersOutdated reports whether orders that were read at the given revision of the store are
+// older than the one that the former leader has recorded. They do not show that it was
+// withdrawn.
+func (s *serviceRollout) ordersOutdated(read fleet.Revision) bool {
+	return s.controller != nil && read < s.controller.Record().Order.Revision
+}
+
 // considerOrder starts a roll-out if there is a new order, and ends one whose order was
 // withdrawn or replaced.
 func (r *Router) considerOrder(now time.Time, l *leadership, s *serviceRollout, order rollout.Order, ordered bool) {
--- a/internal/direct/rollouts_test.go
+++ b/internal/direct/rollouts_test.go
@@ -163,3 +163,39 @@
 	d.encode(&e)
 	return jx.DecodeBytes(e.Bytes())
 }
+
+// Guards against a roll-out that is completed while the new run of an instance, which has no
+// directives yet, may send requests to the old version, and against a record of each
+// instance that has ever been removed.
+func TestInstancesThatMayUseOldVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &serviceRollout{evidence: rollout.NewAggregate(9)}
+	l := &leadership{rollouts: newRolloutLeader()}
+	l.rollouts.services["svc"] = s
+	mergeEvidence(l, report{Instance: "i", RolloutSeq: 3, Rollouts: []rollout.Evidence{{Service: "svc", Order: 9, Boot: "1", Number: 1, Step: 7}}})
+	mergeEvidence(l, report{Instance: "i"})
+	if applied, _ := s.evidence.Applied("i", 7); applied {
+		t.Error("the new run counts as one that applies the directive")
+	}
+	l.rollouts.noteSilent(now, "a")
+	l.rollouts.noteSilent(now.Add(silentInstanceTime), "b")
+	if n := len(l.rollouts.silent); n != 1 {
+		t.Errorf("%d silent instances, want 1", n)
+	}
+}
+
+// Guards against a new leader that rolls a version back because it has not read the order yet.
+func TestOrderThatIsNotReadYet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &serviceRollout{}
+	if s.ordersOutdated(1) {
+		t.Error("orders are outdated without a record")
+	}
+	order := rollout.Order{Service: "svc", Target: "v2", Duration: 12 * time.Second, Revision: fleet.NewRevision(2, 7)}
+	s.controller = rollout.Continue(now, testBounds, rollout.Record{Order: order, Phase: rollout.PhaseMeasure}, 1)
+	for read, want := range map[fleet.Revision]bool{fleet.NewRevision(2, 6): true, fleet.NewRevision(1, 9): true, order.Revision: false, fleet.NewRevision(3, 1): false} {
+		if got := s.ordersOutdated(read); got != want {
+			t.Errorf("orders read at revision %d: outdated %t, want %t", read, got, want)
+		}
+	}
+}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -163,7 +163,7 @@
 	r.gate, r.collector = rollout.NewGate(r.rng), rollout.NewCollector(r.boot)
 	r.upstreams = balance.New(cfg.Instance, r.rng, r.warmUpLimits)
 	r.accounts.name = func(id fleet.AccountID) string { return string(id) }
-	r.accounts.questions.send, r.accounts.logFailure = r.askAccountHome, r.logAccountHomeFailure
+	r.accounts.tokenRequests.send, r.accounts.logFailure = r.requestTokensFromHome, r.logAccountHomeFailure
 	r.upstreamLimits.name = runName
 	r.upstreamLimits.request, r.upstreamLimits.logFailure = r.requestUpstreamToken, r.logUpstreamHomeFailure
 	m.refreshGauges = r.updateGauges
@@ -207,7 +207,7 @@
 		{Addr: r.cfg.PeerListen, Handler: http.HandlerFunc(r.servePeer), MaxBody: maxPeerBody, Bodies: http1.NewBodyBudget(maxPeerBodies), SmallBodies: http1.NewBodyBudget(maxSmallPeerBodies)},
 	}
 	if r.cfg.MetricsListen != "" {
-		servers = append(servers, http1.ServerConfig{Addr: r.cfg.MetricsListen, Handler: r.metrics.Handler(), MaxBody: maxProbeBody, MaxConns: shares.probes, MaxRequests: maxProbeRequests, Bodies: probes})
+		servers = append(servers, http1.ServerConfig{Addr: r.cfg.MetricsListen, Handler: refuseUnreceived(r.metrics.Handler()), MaxBody: maxProbeBody, MaxConns: shares.probes, MaxRequests: maxProbeRequests, Bodies: probes})
 	}
 	for _, cfg := range servers {
 		cfg.ReadTimeout, cfg.Limits.HeadTimeout, cfg.MinRate = serverReadTimeout, defaultHeadTimeout, minCallerRate
