direct, balance, quota, admission: names and comments in the terms of the field

Loads and limits in messages are reported, sent, received or acknowledged, queues are queued requests, and requests in flight are called so.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,7 +5,7 @@
 // attempts (Gate.Report). The leader adds these up, detects a shortage by the attempts that
 // upstreams have refused or queued, and computes the share of the requests of each priority
 // that fits into the capacity (Controller). All instances admit these shares (Gate.Arrive).
-// An instance that has no news from the leader for MaxAge uses a Controller of its own, which
+// An instance that has no reply from the leader for MaxAge uses a Controller of its own, which
 // knows its own observations only.
 //
 // Invariants:
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -63,7 +63,7 @@
 // two reports at the design rate.
 const maxHolders = 300
 
-// NewGate returns the Gate of an instance that has had no news of a leader.
+// NewGate returns the Gate of an instance that has received no shares from a leader.
 func NewGate(now time.Time, rng *rand.Rand) *Gate {
 	own := NewController(now, nil)
 	own.single = true
@@ -186,7 +186,7 @@
 	g.ownShares = g.own.Shares()
 }
 
-// Learn replaces the shares by those in news from the leader that is age old.
+// Learn replaces the shares by those from the leader that are age old.
 func (g *Gate) Learn(now time.Time, age time.Duration, s Shares) {
 	at := now.Add(-age)
 	if at.Before(g.learnedAt) {
--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -72,7 +72,7 @@
 	// together and would look like a burst.
 	minMeterTime = 500 * time.Millisecond
 	// serviceHalfLife and holderHalfLife are the half-lives of the averages at the leader. A single holder
-	// has few requests, and half a second of them is too few to tell a shortage by.
+	// has few requests, and half a second of them is too few to detect a shortage.
 	serviceHalfLife = 500 * time.Millisecond
 	holderHalfLife  = time.Second
 	// ownHalfLife is that of the averages of a single instance, which sees one request in a
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Retries tells which requests of a route are probably sent a second time. Nothing in a
+// Retries detects which requests of a route are probably sent a second time. Nothing in a
 // request says so, but the caller has waited since the first time, so that it states less
 // time than the callers of the route usually do.
 type Retries struct {
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -111,8 +111,8 @@
 	ejectedUntil         time.Time
 	curve                LoadCurve
 	ownLimit             float64 // requests in flight by curve; 0 if unknown
-	toldLimit            float64 // requests in flight that the leader has told; 0 if none
-	toldLimitAt          time.Time
+	leaderLimit          float64 // requests in flight, from the leader; 0 if none
+	leaderLimitAt        time.Time
 	samples              Samples         // since the last call of TakeSamples
 	throughput           throughputCount // answers to all instances; used by the leader
 }
--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -18,13 +18,13 @@
 const MinServiceTime = 0.005
 
 const (
-	// toldLimitTTL is the time for which a limit that the leader has told holds. The leader
+	// leaderLimitTTL is the time for which a limit from the leader holds. The leader
 	// repeats limits below the slots every limitRepeatInterval. A limit of a lost leader
 	// would otherwise hold for as long as the upstream runs.
-	toldLimitTTL        = 30 * time.Second
+	leaderLimitTTL      = 30 * time.Second
 	limitRepeatInterval = 10 * time.Second
 	// significantInFlightChange is the change of a limit in flight, as a share of it, from
-	// which on the leader tells it.
+	// which on the leader sends it.
 	significantInFlightChange = 0.15
 )
 
@@ -34,8 +34,8 @@
 func (t *Table) Capacity(now time.Time, e *Entry) Capacity {
 	inFlight, relativeTime := e.curve.limit(float64(e.Slots))
 	c := Capacity{Rate: inFlight / max(t.LongMeanTime(now, e)*relativeTime, MinServiceTime), InFlight: inFlight}
-	if e.toldLimitValid(now) {
-		c.InFlight = e.toldLimit
+	if e.leaderLimitValid(now) {
+		c.InFlight = e.leaderLimit
 	}
 	if limit := float64(e.LimitRate()); limit > 0 {
 		c.Rate = min(c.Rate, limit)
@@ -43,14 +43,14 @@
 	return c
 }
 
-func (e *Entry) toldLimitValid(now time.Time) bool {
-	return e.toldLimit > 0 && now.Sub(e.toldLimitAt) < toldLimitTTL
+func (e *Entry) leaderLimitValid(now time.Time) bool {
+	return e.leaderLimit > 0 && now.Sub(e.leaderLimitAt) < leaderLimitTTL
 }
 
 // inFlightLimit returns the requests in flight, of all instances, that e handles well.
 func (e *Entry) inFlightLimit(now time.Time) float64 {
-	if e.toldLimitValid(now) {
-		return e.toldLimit
+	if e.leaderLimitValid(now) {
+		return e.leaderLimit
 	}
 	if e.ownLimit > 0 {
 		return e.ownLimit
@@ -83,23 +83,23 @@
 	Limit float64
 }
 
-// SetInFlightLimits records limits that the leader has told.
+// SetInFlightLimits records limits from the leader.
 func (t *Table) SetInFlightLimits(now time.Time, limits []InFlightLimit) {
 	for _, l := range limits {
 		if e := t.entries[l.ID]; e != nil && e.Boot == l.Boot && l.Limit >= 1 {
-			e.toldLimit, e.toldLimitAt = min(l.Limit, float64(max(e.Slots, 1))), now
+			e.leaderLimit, e.leaderLimitAt = min(l.Limit, float64(max(e.Slots, 1))), now
 		}
 	}
 }
 
-// InFlightLog contains the limits in flight that a leader has told, each with the version
+// InFlightLog contains the limits in flight that a leader has sent, each with the version
 // in which it last changed.
 type InFlightLog struct {
 	seq  uint64
-	told map[fleet.UpstreamID]toldInFlight
+	sent map[fleet.UpstreamID]sentInFlight
 }
 
-type toldInFlight struct {
+type sentInFlight struct {
 	boot  fleet.BootID
 	limit float64
 	at    time.Time
@@ -112,7 +112,7 @@
 	Limit   float64
 }
 
-// Update records the learned limit of an upstream. A limit is told if it is below the slots
+// Update records the learned limit of an upstream. A limit is sent if it is below the slots
 // of the upstream, or has been since that started.
 func (l *InFlightLog) Update(now time.Time, t *Table, id fleet.UpstreamID) InFlightChange {
 	e := t.entries[id]
@@ -121,35 +121,35 @@
 	}
 	slots := float64(e.Slots)
 	limit, _ := e.curve.limit(slots)
-	last, known := l.told[id]
+	last, known := l.sent[id]
 	known = known && last.boot == e.Boot
 	if !known {
-		last = toldInFlight{limit: slots}
+		last = sentInFlight{limit: slots}
 	}
 	changed := math.Abs(limit-last.limit) >= significantInFlightChange*last.limit
 	due := last.limit < slots && now.Sub(last.at) >= limitRepeatInterval
 	if !changed && !due {
 		return InFlightChange{}
 	}
-	if l.told == nil {
-		l.told = make(map[fleet.UpstreamID]toldInFlight)
+	if l.sent == nil {
+		l.sent = make(map[fleet.UpstreamID]sentInFlight)
 	}
 	l.seq++
-	l.told[id] = toldInFlight{boot: e.Boot, limit: limit, at: now, seq: l.seq}
+	l.sent[id] = sentInFlight{boot: e.Boot, limit: limit, at: now, seq: l.seq}
 	return InFlightChange{Crossed: (limit < slots) != (last.limit < slots), Limit: limit}
 }
 
-// Since returns the limits that were told after version seq, and the present version.
+// Since returns the limits that were sent after version seq, and the present version.
 func (l *InFlightLog) Since(t *Table, seq uint64) ([]InFlightLimit, uint64) {
 	var limits []InFlightLimit
-	for id, told := range l.told {
+	for id, last := range l.sent {
 		e := t.entries[id]
-		if e == nil || e.Boot != told.boot {
-			delete(l.told, id)
+		if e == nil || e.Boot != last.boot {
+			delete(l.sent, id)
 			continue
 		}
-		if told.seq > seq {
-			limits = append(limits, InFlightLimit{ID: id, Boot: told.boot, Limit: told.limit})
+		if last.seq > seq {
+			limits = append(limits, InFlightLimit{ID: id, Boot: last.boot, Limit: last.limit})
 		}
 	}
 	return limits, l.seq
--- a/internal/balance/capacity_model_test.go
+++ b/internal/balance/capacity_model_test.go
@@ -228,13 +228,13 @@
 	u.answers(200, b.observe)
 	b.t.SetInFlightLimits(b.now, []InFlightLimit{{ID: "u0", Boot: "1", Limit: 2}, {ID: "u1", Boot: "0", Limit: 2}})
 	if got := b.t.Capacity(b.now, b.e).InFlight; got != 2 {
-		t.Errorf("limit %v, the leader has told 2", got)
+		t.Errorf("limit %v, the limit from the leader is 2", got)
 	}
 	if got := b.t.Capacity(b.now, b.t.Get("u1")).InFlight; got != 6 {
 		t.Errorf("limit %v from an earlier run", got)
 	}
-	if got := b.t.Capacity(b.now.Add(toldLimitTTL), b.e).InFlight; got == 2 {
-		t.Error("a told limit holds for ever")
+	if got := b.t.Capacity(b.now.Add(leaderLimitTTL), b.e).InFlight; got == 2 {
+		t.Error("a limit from the leader holds for ever")
 	}
 	list := registrations(4)
 	list[0].Boot = "2"
@@ -245,7 +245,7 @@
 	}
 }
 
-// Guards against a limit in flight that is told again without a change, that is not repeated
+// Guards against a limit in flight that is sent again without a change, that is not repeated
 // before it expires, or whose end is not told.
 func TestInFlightLog(t *testing.T) {
 	b, log := newByCurve(), InFlightLog{}
@@ -265,7 +265,7 @@
 	if again, _ := told(time.Second, seq); len(again) > 0 {
 		t.Errorf("told %v without a change", again)
 	}
-	if again, _ := told(limitRepeatInterval, seq); len(again) != 1 || limitRepeatInterval >= toldLimitTTL {
+	if again, _ := told(limitRepeatInterval, seq); len(again) != 1 || limitRepeatInterval >= leaderLimitTTL {
 		t.Error("a limit is not repeated before it expires")
 	}
 	b.e.curve = LoadCurve{}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -179,11 +179,11 @@
 	if e.load.Slowdown > 1 {
 		serviceTime *= 1 + (e.load.Slowdown-1)*decay(loadAge, slowdownHalfLife)
 	}
-	ahead, slots := c.ahead(e, loadAge), max(e.inFlightLimit(c.now), 1)
-	wait := serviceTime * max(0, ahead+1-slots) / slots
+	inFlight, slots := c.inFlight(e, loadAge), max(e.inFlightLimit(c.now), 1)
+	wait := serviceTime * max(0, inFlight+1-slots) / slots
 	// The service time rises a little with the number of used slots. The term also spreads
 	// requests over upstreams with free slots.
-	seconds := serviceTime*(1+0.3*min(1, ahead/slots)) + wait
+	seconds := serviceTime*(1+0.3*min(1, inFlight/slots)) + wait
 	if e.failureRate > 0 {
 		seconds += failureCost * c.target * e.failureRate * decay(c.now.Sub(e.failureRateUpdated), evidenceHalfLife)
 	}
@@ -196,10 +196,10 @@
 	return seconds * (1 - costJitter/2 + costJitter*c.t.rng.Float64())
 }
 
-// ahead returns the estimated requests in flight at e, of all instances. As the last stated
+// inFlight returns the estimated requests in flight at e, of all instances. As the last stated
 // load of e gets older, the estimate approaches the mean of the service. Without that, an
 // upstream that has not answered lately would look idle.
-func (c *choice) ahead(e *Entry, loadAge time.Duration) float64 {
+func (c *choice) inFlight(e *Entry, loadAge time.Duration) float64 {
 	known, expected := decay(loadAge, c.loadHalfLife), c.meanLoad
 	if e.Zone != c.q.Zone {
 		expected = min(expected, maxOtherZoneLoad)
--- a/internal/balance/expect.go
+++ b/internal/balance/expect.go
@@ -30,9 +30,9 @@
 	if e.load.Slowdown > 1 {
 		serviceTime *= 1 + (e.load.Slowdown-1)*decay(loadAge, slowdownHalfLife)
 	}
-	ahead, slots := c.ahead(e, loadAge), max(e.inFlightLimit(c.now), 1)
+	inFlight, slots := c.inFlight(e, loadAge), max(e.inFlightLimit(c.now), 1)
 	x.Work = seconds(serviceTime)
-	x.Wait = seconds(serviceTime * max(0, ahead+1-slots) / slots)
+	x.Wait = seconds(serviceTime * max(0, inFlight+1-slots) / slots)
 	return x
 }
 
--- a/internal/direct/holderload.go
+++ b/internal/direct/holderload.go
@@ -17,13 +17,13 @@
 	// holderLoadTTL is the time for which a load that a holder has stated is used. A queue
 	// that takes longer to become empty is stated again by the answers meanwhile.
 	holderLoadTTL = 2 * time.Second
-	// hotKeysTTL is the time for which shares of hot keys are used without news from the
+	// hotKeysTTL is the time for which shares of hot keys are used without a reply from the
 	// leader.
 	hotKeysTTL = 2 * time.Second
-	// longWait is the shortest expected wait at a holder that the leader tells instances.
+	// longWait is the shortest expected wait at a holder that the leader reports to instances.
 	longWait = 100 * time.Millisecond
-	// maxToldHolders bounds the holders in a report and in a reply.
-	maxToldHolders = 32
+	// maxReportedHolders bounds the holders in a report and in a reply.
+	maxReportedHolders = 32
 	// waitJitter is the range of the random factor on each expected wait, so that not all
 	// instances send again at the same moment.
 	waitJitter = 0.5
@@ -42,7 +42,7 @@
 	rate     float64 // requests/s that it serves; 0 if it is to be taken from the own table
 	at       time.Time
 	sent     float64 // by this instance since then
-	told     bool    // to the leader
+	reported bool    // to the leader
 }
 
 // holderLoads is what an instance knows of the load of the holders of keys, from answers to
@@ -83,14 +83,14 @@
 }
 
 // merge records the load that another instance knows, if it is newer.
-func (h *holderLoads) merge(now time.Time, list []toldLoad) {
+func (h *holderLoads) merge(now time.Time, list []reportedLoad) {
 	for _, l := range list {
 		if l.Age < 0 || l.Age > holderLoadTTL {
 			continue
 		}
 		at := now.Add(-l.Age)
 		if old := h.holders[l.ID]; old.at.Before(at) {
-			h.holders[l.ID] = holderLoad{boot: l.Boot, requests: l.Requests, rate: l.Rate, at: at, told: true}
+			h.holders[l.ID] = holderLoad{boot: l.Boot, requests: l.Requests, rate: l.Rate, at: at, reported: true}
 		}
 	}
 }
@@ -146,11 +146,11 @@
 	if rate <= 0 {
 		rate = capacity.Rate
 	}
-	ahead := l.requests + l.sent - rate*age.Seconds() + 1 - float64(e.Slots)
-	if rate <= 0 || ahead <= 0 {
+	queued := l.requests + l.sent - rate*age.Seconds() + 1 - float64(e.Slots)
+	if rate <= 0 || queued <= 0 {
 		return 0
 	}
-	return time.Duration(ahead / rate * float64(time.Second))
+	return time.Duration(queued / rate * float64(time.Second))
 }
 
 // sent counts a request that this instance sends to e.
@@ -250,8 +250,8 @@
 	return true
 }
 
-// toldLoad is the load of a holder in a message.
-type toldLoad struct {
+// reportedLoad is the load of a holder in a message.
+type reportedLoad struct {
 	ID       fleet.UpstreamID
 	Boot     fleet.BootID
 	Requests float64
@@ -259,15 +259,15 @@
 	Age      time.Duration
 }
 
-// takeNews returns the loads for a report: those of holders with waiting requests that the
-// leader has not been told of.
-func (h *holderLoads) takeNews(now time.Time) []toldLoad {
+// takeReport returns the loads for a report: those of holders with waiting requests that the
+// leader has not received.
+func (h *holderLoads) takeReport(now time.Time) []reportedLoad {
 	h.prune(now)
-	var list []toldLoad
+	var list []reportedLoad
 	for id, l := range h.holders {
-		if !l.told {
-			list = append(list, toldLoad{ID: id, Boot: l.boot, Requests: l.requests, Age: now.Sub(l.at)})
-			l.told = true
+		if !l.reported {
+			list = append(list, reportedLoad{ID: id, Boot: l.boot, Requests: l.requests, Age: now.Sub(l.at)})
+			l.reported = true
 			h.holders[id] = l
 		}
 	}
@@ -276,22 +276,22 @@
 
 // long returns the loads for a reply of the leader: those of the holders at which a request
 // is expected to wait for longWait. get returns an upstream and its capacity.
-func (h *holderLoads) long(now time.Time, get func(fleet.UpstreamID) (*balance.Entry, balance.Capacity)) []toldLoad {
+func (h *holderLoads) long(now time.Time, get func(fleet.UpstreamID) (*balance.Entry, balance.Capacity)) []reportedLoad {
 	h.prune(now)
-	var list []toldLoad
+	var list []reportedLoad
 	for id, l := range h.holders {
 		e, capacity := get(id)
 		if e != nil && h.wait(now, e, capacity) >= longWait {
-			list = append(list, toldLoad{ID: id, Boot: l.boot, Requests: l.requests, Rate: math.Round(capacity.Rate*10) / 10, Age: now.Sub(l.at)})
+			list = append(list, reportedLoad{ID: id, Boot: l.boot, Requests: l.requests, Rate: math.Round(capacity.Rate*10) / 10, Age: now.Sub(l.at)})
 		}
 	}
 	return newest(list)
 }
 
-// newest returns the newest loads of list, at most maxToldHolders.
-func newest(list []toldLoad) []toldLoad {
-	slices.SortFunc(list, func(a, b toldLoad) int {
+// newest returns the newest loads of list, at most maxReportedHolders.
+func newest(list []reportedLoad) []reportedLoad {
+	slices.SortFunc(list, func(a, b reportedLoad) int {
 		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID, b.ID))
 	})
-	return list[:min(len(list), maxToldHolders)]
+	return list[:min(len(list), maxReportedHolders)]
 }
--- a/internal/direct/holderload_message.go
+++ b/internal/direct/holderload_message.go
@@ -11,15 +11,15 @@
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
-// holderNews is the field "holder-loads" of a reply.
-type holderNews struct {
-	Loads   []toldLoad
+// holderUpdate is the field "holder-loads" of a reply.
+type holderUpdate struct {
+	Loads   []reportedLoad
 	HotKeys map[fleet.ServiceID][]keyspace.KeyShare
 	Age     time.Duration // since the leader computed HotKeys
 }
 
-// encodeToldLoads encodes each load as a list: ID, boot, requests, requests/s and age in ms.
-func encodeToldLoads(e *jx.Encoder, field string, loads []toldLoad) {
+// encodeReportedLoads encodes each load as a list: ID, boot, requests, requests/s and age in ms.
+func encodeReportedLoads(e *jx.Encoder, field string, loads []reportedLoad) {
 	if len(loads) == 0 {
 		return
 	}
@@ -37,18 +37,18 @@
 	e.ArrEnd()
 }
 
-func decodeToldLoads(d *jx.Decoder) ([]toldLoad, error) {
-	var loads []toldLoad
+func decodeReportedLoads(d *jx.Decoder) ([]reportedLoad, error) {
+	var loads []reportedLoad
 	err := d.Arr(func(d *jx.Decoder) error {
-		l, err := decodeToldLoad(d)
+		l, err := decodeReportedLoad(d)
 		loads = append(loads, l)
 		return err
 	})
 	return loads, err
 }
 
-func decodeToldLoad(d *jx.Decoder) (toldLoad, error) {
-	var l toldLoad
+func decodeReportedLoad(d *jx.Decoder) (reportedLoad, error) {
+	var l reportedLoad
 	n := 0
 	err := d.Arr(func(d *jx.Decoder) (err error) {
 		var s string
@@ -82,13 +82,13 @@
 }
 
 // encode writes the field of a reply. Shares are in thousandths.
-func (n holderNews) encode(e *jx.Encoder) {
+func (n holderUpdate) encode(e *jx.Encoder) {
 	if len(n.Loads)+len(n.HotKeys) == 0 {
 		return
 	}
 	e.FieldStart("holder-loads")
 	e.ObjStart()
-	encodeToldLoads(e, "full", n.Loads)
+	encodeReportedLoads(e, "full", n.Loads)
 	if len(n.HotKeys) > 0 {
 		e.FieldStart("age-ms")
 		e.Int64(n.Age.Milliseconds())
@@ -108,12 +108,12 @@
 	e.ObjEnd()
 }
 
-func decodeHolderNews(d *jx.Decoder) (holderNews, error) {
-	var n holderNews
+func decodeHolderUpdate(d *jx.Decoder) (holderUpdate, error) {
+	var n holderUpdate
 	err := d.Obj(func(d *jx.Decoder, field string) (err error) {
 		switch field {
 		case "full":
-			n.Loads, err = decodeToldLoads(d)
+			n.Loads, err = decodeReportedLoads(d)
 		case "age-ms":
 			n.Age, err = decodeMillis(d)
 		case "hot-keys":
--- a/internal/direct/holderload_test.go
+++ b/internal/direct/holderload_test.go
@@ -35,13 +35,13 @@
 // an instance that never sends again to a holder because it gets no answers from it.
 func TestFullHolderGetsNothingUntilItHasRoom(t *testing.T) {
 	now := time.Now()
-	seen, told := testHolderLoads(), testHolderLoads()
+	seen, received := testHolderLoads(), testHolderLoads()
 	seen.note(now, loadedHolder, fullHolderLoad)
-	told.merge(now, seen.takeNews(now))
-	if again := seen.takeNews(now); len(again) > 0 {
-		t.Errorf("told again: %v", again)
+	received.merge(now, seen.takeReport(now))
+	if again := seen.takeReport(now); len(again) > 0 {
+		t.Errorf("reported again: %v", again)
 	}
-	for name, h := range map[string]*holderLoads{"seen": seen, "told": told} {
+	for name, h := range map[string]*holderLoads{"seen": seen, "received": received} {
 		verdict, retryAfter := h.decide(now, keyRequest(now, time.Second), loadedHolder, holderRate, holderTime)
 		if verdict != longQueue {
 			t.Fatalf("%s: verdict %d at a full holder", name, verdict)
@@ -58,18 +58,18 @@
 	}
 }
 
-// Guards against older news that replaces newer.
+// Guards against an older report that replaces newer.
 func TestNewestHolderLoadWins(t *testing.T) {
 	now := time.Now()
 	h := testHolderLoads()
 	h.note(now, loadedHolder, fullHolderLoad)
-	h.merge(now.Add(10*time.Millisecond), []toldLoad{{ID: "u", Boot: "1", Requests: 1, Age: 500 * time.Millisecond}})
+	h.merge(now.Add(10*time.Millisecond), []reportedLoad{{ID: "u", Boot: "1", Requests: 1, Age: 500 * time.Millisecond}})
 	if got := h.wait(now, loadedHolder, holderRate); got < 800*time.Millisecond {
-		t.Errorf("expected wait %v after older news, want 0.85 s", got)
+		t.Errorf("expected wait %v after an older report, want 0.85 s", got)
 	}
-	h.merge(now.Add(100*time.Millisecond), []toldLoad{{ID: "u", Boot: "1", Requests: 1}})
+	h.merge(now.Add(100*time.Millisecond), []reportedLoad{{ID: "u", Boot: "1", Requests: 1}})
 	if got := h.wait(now.Add(100*time.Millisecond), loadedHolder, holderRate); got > 0 {
-		t.Errorf("expected wait %v after newer news, want none", got)
+		t.Errorf("expected wait %v after a newer report, want none", got)
 	}
 }
 
@@ -121,7 +121,7 @@
 			}
 		}
 		if late := now.Add(hotKeysTTL + time.Millisecond); !h.admitKey(late, "s", 7) {
-			t.Fatal("a share without news of the leader was used")
+			t.Fatal("a share without a reply of the leader was used")
 		}
 	}
 	if want := instances * requests / 10; admitted < want*8/10 || admitted > want*12/10 {
@@ -133,9 +133,9 @@
 // invalid ones that are accepted, and against more bytes than instances with little
 // bandwidth can bear.
 func TestHolderLoadMessages(t *testing.T) {
-	news := holderNews{HotKeys: map[fleet.ServiceID][]keyspace.KeyShare{"jizdy": {{Key: 0, Share: 0.125}, {Key: 65535, Share: 1}}}, Age: 40 * time.Millisecond}
-	for i := range maxToldHolders {
-		news.Loads = append(news.Loads, toldLoad{ID: fleet.UpstreamID(fmt.Sprintf("lookups-%03d", i)), Boot: "1700000000000", Requests: 20, Rate: 15.5, Age: 1200 * time.Millisecond})
+	news := holderUpdate{HotKeys: map[fleet.ServiceID][]keyspace.KeyShare{"lookups": {{Key: 0, Share: 0.125}, {Key: 65535, Share: 1}}}, Age: 40 * time.Millisecond}
+	for i := range maxReportedHolders {
+		news.Loads = append(news.Loads, reportedLoad{ID: fleet.UpstreamID(fmt.Sprintf("lookups-%03d", i)), Boot: "1700000000000", Requests: 20, Rate: 15.5, Age: 1200 * time.Millisecond})
 	}
 	rp := reply{Term: 1, Held: 0, Holders: news}
 	got, err := decodeReply(rp.encode())
@@ -154,7 +154,7 @@
 		t.Error(diff, gotReport.Urgent)
 	}
 	if size := len(rp.encode()) - len(reply{Term: 1}.encode()); size > 2048 {
-		t.Errorf("%d bytes for %d holders", size, maxToldHolders)
+		t.Errorf("%d bytes for %d holders", size, maxReportedHolders)
 	}
 	for _, text := range []string{
 		`{"instance":"a","holder-loads":[["u","1",-3,0,0]]}`, `{"instance":"a","holder-loads":[["u","1",3]]}`, `{"instance":"a","holder-loads":[["","1",3,0,0]]}`,
--- a/internal/direct/holders.go
+++ b/internal/direct/holders.go
@@ -124,7 +124,7 @@
 func (r *Router) addHolderReport(now time.Time, rep *report) {
 	rep.Keys = r.requestedKeys
 	r.requestedKeys = make(map[fleet.ServiceID][]keyspace.Key)
-	rep.HolderLoads = r.holderLoads.takeNews(now)
+	rep.HolderLoads = r.holderLoads.takeReport(now)
 }
 
 // countKeys adds the requested keys of a report to the load of the keys. It must not be called
@@ -142,14 +142,14 @@
 	}
 }
 
-// holderNews returns what a reply tells of holders. The caller must hold mu.
-func (r *Router) holderNews(now time.Time) holderNews {
-	return holderNews{Loads: r.holderLoads.long(now, r.holderCapacity(now)), HotKeys: r.holderLoads.planned, Age: now.Sub(r.holderLoads.plannedAt)}
+// holderUpdate returns the state of holders for a reply. The caller must hold mu.
+func (r *Router) holderUpdate(now time.Time) holderUpdate {
+	return holderUpdate{Loads: r.holderLoads.long(now, r.holderCapacity(now)), HotKeys: r.holderLoads.planned, Age: now.Sub(r.holderLoads.plannedAt)}
 }
 
-// applyHolderNews applies what a reply, made at repliedAt, tells of holders. The caller must
+// applyHolderUpdate applies the state of holders in a reply that was made at repliedAt. The caller must
 // hold mu.
-func (r *Router) applyHolderNews(repliedAt time.Time, n holderNews) {
+func (r *Router) applyHolderUpdate(repliedAt time.Time, n holderUpdate) {
 	r.holderLoads.merge(repliedAt, n.Loads)
 	r.holderLoads.setHotKeys(repliedAt, n.Age, n.HotKeys)
 }
--- a/internal/direct/holders_model_test.go
+++ b/internal/direct/holders_model_test.go
@@ -342,7 +342,7 @@
 }
 
 func (m *holdersModel) report(in *modelInstance) {
-	keys, loads := in.keys, in.router.holderLoads.takeNews(m.wall())
+	keys, loads := in.keys, in.router.holderLoads.takeReport(m.wall())
 	samples := in.router.upstreams.TakeSamples(func(fleet.ServiceID) bool { return true })
 	in.keys = nil
 	m.after(2*time.Millisecond, func() {
--- a/internal/direct/holders_refusal_test.go
+++ b/internal/direct/holders_refusal_test.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// Guards against news of full holders and hot keys that do not reach the other instances, or
+// Guards against loads of full holders and hot keys that do not reach the other instances, or
 // that outlast the leader.
-func TestHolderNewsReachOtherInstances(t *testing.T) {
+func TestHolderLoadsReachOtherInstances(t *testing.T) {
 	now := time.Now()
 	leader, _ := holderRouter("leader")
 	l := &leadership{term: 2, startedAt: now, members: make(map[fleet.InstanceID]member), coordinator: keyspace.NewCoordinator(now, 1, keyspace.Timing{}, keyspace.Record{})}
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -170,7 +170,7 @@
 	}
 	encodeRunLimits(&e, r.Limits)
 	encodeAdmissionReport(&e, r.Admission)
-	encodeToldLoads(&e, "holder-loads", r.HolderLoads)
+	encodeReportedLoads(&e, "holder-loads", r.HolderLoads)
 	if r.Urgent {
 		e.FieldStart("urgent")
 		e.Bool(true)
@@ -234,7 +234,7 @@
 		case "admission":
 			r.Admission, err = decodeAdmissionReport(d)
 		case "holder-loads":
-			r.HolderLoads, err = decodeToldLoads(d)
+			r.HolderLoads, err = decodeReportedLoads(d)
 		case "urgent":
 			r.Urgent, err = d.Bool()
 		case "rollouts", "rollout-seq":
@@ -398,7 +398,7 @@
 		case "in-flight-seq":
 			r.InFlight.Seq, err = d.UInt64()
 		case "holder-loads":
-			r.Holders, err = decodeHolderNews(d)
+			r.Holders, err = decodeHolderUpdate(d)
 		case "rollouts", "rollout-seq", "rollout-orders":
 			err = r.decodeRollouts(d, field)
 		case "map":
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -95,7 +95,7 @@
 	// Admission has the requests since the last report.
 	Admission admission.Report
 	// HolderLoads are loads that holders have stated to the sender.
-	HolderLoads []toldLoad
+	HolderLoads []reportedLoad
 	// Rollouts is what the sender has observed of roll-outs, RolloutSeq the version of this
 	// leader's directives that it applies.
 	Rollouts   []rollout.Evidence
@@ -134,7 +134,7 @@
 	Source           []byte // encoded configuration; empty if the instance has it
 	Evacuated        []fleet.ZoneID
 	OperatorRevision fleet.Revision
-	Holders          holderNews
+	Holders          holderUpdate
 	Orders           map[fleet.ServiceID]rollout.Order
 	// Rollouts are the leader's directives, nil if it does not know them yet.
 	Rollouts   []rollout.Directive
@@ -353,7 +353,7 @@
 		r.operatorConfirmedAt = latest(r.operatorConfirmedAt, repliedAt.Add(-rp.OperatorAge))
 	}
 	fromStore := r.listFromStore
-	r.applyHolderNews(repliedAt, rp.Holders)
+	r.applyHolderUpdate(repliedAt, rp.Holders)
 	r.mu.Unlock()
 	r.applyOperator(repliedAt, rp)
 	defer func() { r.applyDirectives(now, repliedAt, rp.Rollouts, rp.RolloutSeq) }() // after the upstreams are listed
@@ -508,7 +508,7 @@
 	rp.Limits, rp.LimitSeq = r.limitsSince(now, rep.LimitSeq)
 	rp.Admission = r.sharesInForce(now, l)
 	rp.InFlight.Limits, rp.InFlight.Seq = l.inFlight.Since(r.upstreams, rep.InFlightSeq)
-	rp.Holders = r.holderNews(now)
+	rp.Holders = r.holderUpdate(now)
 	return rp
 }
 
--- a/internal/keyspace/hotkeys.go
+++ b/internal/keyspace/hotkeys.go
@@ -22,7 +22,7 @@
 	// The capacity is an estimate; the queue of the holder bounds smaller excesses.
 	minHotKeyLoad = 1.25
 	// maxHotKeys bounds the keys of a service that have a share, and with them the message
-	// that tells them to the instances.
+	// that contains them.
 	maxHotKeys = 32
 )
 
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -15,7 +15,7 @@
 	// of requesters with less save few token requests, and their parts of the limit are mostly unused:
 	// 0.6 to 0.7 of a limit of 10 requests/s was admitted with leases for all of 86 requesters.
 	minLeaseRequests = 2.0
-	// maxHomeDebt bounds by how much the tokens of a home fall below 0 when it is told what
+	// maxHomeDebt bounds by how much the tokens of a home fall below 0 when it receives what
 	// others have admitted, as the time in which they accrue. Those admissions stay in the
 	// usage of the window in any case.
 	maxHomeDebt = 1 * time.Second
@@ -144,7 +144,7 @@
 
 // takeInherited returns the number of tokens that have accrued since lastRefill under leases
 // of the home before this one, of which it knows only that they may be in force. Their
-// requests are counted when requesters tell of them.
+// requests are counted when requesters report them.
 func (b *homeBucket) takeInherited(now time.Time) float64 {
 	return b.inherited * max(0, earliest(now, b.inheritedUntil).Sub(b.lastRefill).Seconds())
 }
--- a/internal/quota/requester.go
+++ b/internal/quota/requester.go
@@ -31,12 +31,12 @@
 	exhaustedAt time.Time // until when a home had no token
 	exhaustedBy Run
 
-	uses   []knownUse
-	seq    uint64
-	sealed uint64                      // uses up to this number are contained in a token request
-	told   map[fleet.InstanceID]uint64 // uses up to this number were answered by this home
-	boots  map[fleet.InstanceID]fleet.BootID
-	failed map[fleet.InstanceID]bool // homes that may have restarted since their last token request
+	uses         []knownUse
+	seq          uint64
+	sealed       uint64                      // uses up to this number are contained in a token request
+	acknowledged map[fleet.InstanceID]uint64 // uses up to this number were answered by this home
+	boots        map[fleet.InstanceID]fleet.BootID
+	failed       map[fleet.InstanceID]bool // homes that may have restarted since their last token request
 }
 
 type knownUse struct {
@@ -70,7 +70,7 @@
 	s := a.keys[key]
 	if s == nil {
 		s = &keyState{
-			demandAt: now, told: make(map[fleet.InstanceID]uint64), boots: make(map[fleet.InstanceID]fleet.BootID), failed: make(map[fleet.InstanceID]bool),
+			demandAt: now, acknowledged: make(map[fleet.InstanceID]uint64), boots: make(map[fleet.InstanceID]fleet.BootID), failed: make(map[fleet.InstanceID]bool),
 		}
 		a.keys[key] = s
 	}
@@ -142,7 +142,7 @@
 	last := Run{Instance: home, Boot: s.boots[home]}
 	for _, u := range s.uses {
 		u.Age, u.Former = max(0, now.Sub(u.at)), u.by == last
-		if s.failed[home] || !u.Former && u.Seq > s.told[home] {
+		if s.failed[home] || !u.Former && u.Seq > s.acknowledged[home] {
 			q.Uses = append(q.Uses, u.Use)
 		}
 	}
@@ -163,7 +163,7 @@
 	if g.NeedComplete {
 		return
 	}
-	s.boots[home], s.told[home] = g.Boot, q.newest
+	s.boots[home], s.acknowledged[home] = g.Boot, q.newest
 	a.record(now, s, run, g.Admitted)
 	if g.Admitted >= q.Wanted {
 		return
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -194,7 +194,7 @@
 	c.dirty = c.dirty && (saved.Phase != c.rec.Phase || saved.Settled != c.rec.Settled)
 }
 
-// Restored tells that the store was restored from a copy and may lack the last record.
+// Restored records that the store was restored from a copy and may lack the last record.
 func (c *Controller) Restored() { c.dirty = true }
 
 // settleTime is the time after the completion of a roll-out within which the upstreams of
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -71,7 +71,7 @@
 	Target  fleet.VersionID
 }
 
-// Directive tells an instance which versions the requests of a service may use.
+// Directive states which versions the requests of a service may use.
 type Directive struct {
 	Service fleet.ServiceID
 	Order   fleet.Revision // identifies the roll-out
