--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -98,7 +98,7 @@
 	reactionTime = 1500 * time.Millisecond
 	// firstLowered is the first limit relative to the rate of answers, lowered the factor of a
 	// later step down. The first one has to empty the queues, which delay all requests.
-	firstLowered, lowered = 0.85, 0.93
+	firstLowered, lowered = 0.95, 0.93
 	// raisePerSec is the part by which the limit grows in a second once the shortage eases, up
 	// to the estimated capacity, and raiseBeyondPerSec that above it. Callers that repeat
 	// refused requests make the demand look higher than it is until the limit has grown.
@@ -108,7 +108,7 @@
 	spareFactor = 1.2
 	// lowestAnswered is the lowest limit relative to the rate of answers. What upstreams have
 	// just answered fits into their capacity, but leaves queues as long as they are.
-	lowestAnswered = 0.9
+	lowestAnswered = 0.95
 	// minAdmitted is the lowest limit relative to the demand if the capacity is unknown.
 	minAdmitted = 0.3
 )
@@ -190,9 +190,11 @@
 		if now.Sub(l.loweredAt) >= reactionTime {
 			l.limit, l.loweredAt = max(l.limit*lowered, min(lowest, l.limit)), now
 		}
-	case l.eased():
+	default:
+		// Single slow or hot upstreams reject a few requests at any limit, so that the limit
+		// rises without evidence of a shortage too, though slowly.
 		raise := raiseBeyondPerSec
-		if l.limit < capacity {
+		if l.eased() && l.limit < capacity {
 			raise = raisePerSec
 		}
 		l.limit *= 1 + raise*min(elapsed.Seconds(), 1)
