--- a/cmd/parsleyproxy/front.go
+++ b/cmd/parsleyproxy/front.go
@@ -68,6 +68,7 @@
 			"The instance connects to upstreams directly.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "`LEVEL` of the log: debug, info, warn or error", Sources: cli.EnvVars("PARSLEY_LOG_LEVEL")},
+			&cli.BoolFlag{Name: "admit-by-priority", Usage: "admit requests of services that are short of capacity by priority", Sources: cli.EnvVars("PARSLEY_ADMIT_BY_PRIORITY")},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
@@ -75,7 +76,12 @@
 			if path == "" {
 				return usagef("%s is not set: it must name the settings file", platform.SettingsVariable)
 			}
-			cfg, err := platform.ReadSettings(path)
+			readSettings := func() (direct.Settings, error) {
+				cfg, err := platform.ReadSettings(path)
+				cfg.AdmitByPriority = cmd.Bool("admit-by-priority")
+				return cfg, err
+			}
+			cfg, err := readSettings()
 			if err != nil {
 				return usagef("%s: %v", path, err)
 			}
@@ -86,14 +92,14 @@
 			if cmd.Bool("check") {
 				return nil
 			}
-			return runFront(ctx, path, cfg, level)
+			return runFront(ctx, cfg, readSettings, level)
 		},
 	}
 }
 
 // runFront runs an instance on the users' platform. It returns after ctx is cancelled
 // and the instance has shut down.
-func runFront(ctx context.Context, path string, cfg direct.Settings, level hclog.Level) error {
+func runFront(ctx context.Context, cfg direct.Settings, readSettings func() (direct.Settings, error), level hclog.Level) error {
 	keepServingWithoutLog()
 	metrics := direct.NewMetrics()
 	log := hclog.New(&hclog.LoggerOptions{Level: level, Output: logs.NewWriter(os.Stdout, metrics.LogDropped), JSONFormat: true})
@@ -106,7 +112,7 @@
 	storeTransport.MaxBody, storeTransport.Bodies = frontMaxStoreBody, http1.NewBodyBudget(frontStoreBodyBudget)
 	external := direct.Platform{
 		Store: platform.NewStore(cfg.Store, http1.NewTransport(storeTransport), metrics.StoreCall), Holders: platform.Holders{Client: http1.NewTransport(holderTransport)},
-		Protocol: platform.Protocol{}, UpstreamTransport: http1.NewTransport(upstreamTransport), DecodeConfiguration: platform.DecodeConfig, RolloutStatus: platform.RolloutStatus, ReadSettings: func() (direct.Settings, error) { return platform.ReadSettings(path) },
+		Protocol: platform.Protocol{}, UpstreamTransport: http1.NewTransport(upstreamTransport), DecodeConfiguration: platform.DecodeConfig, RolloutStatus: platform.RolloutStatus, ReadSettings: readSettings,
 		SettingsSignals: hangup.Received(),
 	}
 	return direct.New(cfg, external, metrics, log).Run(ctx)
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -40,7 +40,7 @@
 // admitByPriority counts x and decides whether its service, and the holder of its key, have
 // the capacity to serve it. If not, it returns the refusal and false.
 func (r *Router) admitByPriority(now time.Time, x *exchange) (outcome, bool) {
-	if len(x.table.Priorities(x.service.ID)) < 2 {
+	if !r.cfg.AdmitByPriority || len(x.table.Priorities(x.service.ID)) < 2 {
 		return outcome{}, true
 	}
 	priority := routes.PriorityOf(x.route, x.account)
@@ -128,7 +128,7 @@
 // observeAdmission adds a report to what the leader knows of the demand and the shortages.
 func (r *Router) observeAdmission(now time.Time, l *leadership, rep report) {
 	op := r.operatorState.Load()
-	if op == nil || op.Table == nil || !op.Table.HasPriorities() {
+	if op == nil || op.Table == nil || !op.Table.HasPriorities() || !r.cfg.AdmitByPriority {
 		return
 	}
 	r.mu.Lock()
@@ -179,7 +179,7 @@
 func (r *Router) stepAdmission(now time.Time, l *leadership) {
 	op := r.operatorState.Load()
 	r.mu.Lock()
-	if op == nil || op.Table == nil || !op.Table.HasPriorities() {
+	if op == nil || op.Table == nil || !op.Table.HasPriorities() || !r.cfg.AdmitByPriority {
 		l.admission, l.shares = nil, nil
 		r.learnAdmission(now, now, nil)
 		r.mu.Unlock()
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -54,6 +54,10 @@
 	CPUCores       float64 // CPU cores that the instance may use
 	LinkRate       float64 // bytes per second that its link carries in each direction; 0: unknown
 
+	// AdmitByPriority makes requests of services that are short of capacity be admitted by
+	// priority.
+	AdmitByPriority bool
+
 	Retry       RetryLimit
 	Quota       QuotaTolerance
 	Rollout     rollout.Bounds
--- a/internal/direct/intime_test.go
+++ b/internal/direct/intime_test.go
@@ -31,7 +31,7 @@
 func priorityRouter(tb testing.TB, id fleet.InstanceID, sharded bool, upstreams int) *Router {
 	tb.Helper()
 	tr := http1.NewTransport(http1.TransportConfig{DialTimeout: time.Second, IdleTimeout: time.Second, MaxBody: 1 << 10, MaxIdlePerAddr: 1})
-	r := New(Settings{Instance: id}, Platform{Protocol: plainProtocol{}, UpstreamTransport: tr}, NewMetrics(), hclog.NewNullLogger())
+	r := New(Settings{AdmitByPriority: true, Instance: id}, Platform{Protocol: plainProtocol{}, UpstreamTransport: tr}, NewMetrics(), hclog.NewNullLogger())
 	r.operatorState.Store(&OperatorState{Table: priorityTable(sharded)})
 	var list []balance.Registration
 	for i := range upstreams {
