--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,12 @@
 GENERATED = ./internal/assignment ./internal/dispatch ./internal/limit ./internal/platform
 
 # Everything: unit tests, generated sequences, fuzz corpora, scenarios, soak, hostile
-# clients, model. The scenarios, the soak and the hostile clients run alone, because their
-# processes miss deadlines when other tests take all cores.
+# clients, model. The tests of platform, the scenarios, the soak and the hostile clients run
+# alone, because their instances miss deadlines when other tests take all cores.
 test: export RAPID_SEED = 1
 test: model
-	go test -race -timeout 10m $$(go list ./... | grep -v -e /scenarios -e /soak -e /hostile)
+	go test -race -timeout 10m $$(go list ./... | grep -v -e /scenarios -e /soak -e /hostile -e '/parsleyproxy/platform$$')
+	go test -race -timeout 10m ./platform
 	for seed in $(FAILED_SEEDS); do \
 		RAPID_SEED=$$seed go test ./internal/limit -run '^TestWindowBound$$' || exit 1; \
 	done
