--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -192,7 +192,7 @@
 		return
 	}
 	if text := panicText(filepath.Join(d.dir, in.name+".log")); text != "" {
-		d.rec.printf("its last words: %s", text)
+		d.rec.printf("log of %s: %s", in.name, text)
 	}
 	time.AfterFunc(500*time.Millisecond, func() {
 		d.mu.Lock()
