keyspace: a key hotter than any upstream no longer ends the leader if it is key 0

What callers saw: while key 0 had more requests than any upstream serves, connections were closed without an answer, those of other services too. The process of the leader ended, and the next leader's did as well.

Cause: balancing.hottestKey returned key 0 without a shard for an upstream of which no key may move, and spreadOverload took it for a real result. Key 0 is a valid key: if it is overloaded somewhere, the test for a key that is too hot for any upstream holds, and isolate looks up a nil shard. For every other key the same state moves nothing.

Change: hottestKey reports whether there is a key, and both of its callers check that. Moves of other keys do not change.

--- a/internal/keyspace/balance.go
+++ b/internal/keyspace/balance.go
@@ -144,8 +144,10 @@
 			if room <= 0 {
 				break
 			}
-			key, sh, rate := b.hottestKey(source)
+			key, sh, rate, ok := b.hottestKey(source)
 			switch {
+			case !ok:
+				break parts
 			case target.ID == source.ID:
 			case b.s.keyLoad.fastKeyRate(key) > fastest && fastest < minHotKeyGain*source.plannedCapacity():
 				b.isolate(source, key, sh)
@@ -176,7 +178,8 @@
 }
 
 // hottestKey returns the busiest key of an upstream that may move, its shard and its rate.
-func (b *balancing) hottestKey(of Upstream) (key Key, hottest *shard, rate float64) {
+// ok is false if no key of the upstream may move; the other results mean nothing then.
+func (b *balancing) hottestKey(of Upstream) (key Key, hottest *shard, rate float64, ok bool) {
 	for _, sh := range b.byHolder[of.ID] {
 		for k := int(sh.From); k <= int(sh.To); k++ {
 			if r := b.s.keyLoad.keyRate(k); r > rate {
@@ -184,7 +187,7 @@
 			}
 		}
 	}
-	return key, hottest, rate
+	return key, hottest, rate, hottest != nil
 }
 
 // movePart moves a part with at most the given rate from one upstream to another, with as
@@ -297,8 +300,8 @@
 // then lowest, if the load of that key alone is too high for the other moves. Later steps
 // move other keys away from the new holder. It reports whether the key moves.
 func (b *balancing) moveHotKey(from Upstream) bool {
-	key, hottest, rate := b.hottestKey(from)
-	if hottest == nil || rate < hotKeyShare*from.plannedCapacity() {
+	key, hottest, rate, ok := b.hottestKey(from)
+	if !ok || rate < hotKeyShare*from.plannedCapacity() {
 		return false
 	}
 	best, bestUtilisation := from, b.utilisation(from)-minImbalance
