http1: a response without a valid status is no answer of the upstream

What callers saw: an upstream in trouble answered with status 000, and its caller got "200 OK" with the upstream's seal and body. 020, +20, 600, 999, a second space before the status and HTTP/2.0 gave the same.

Cause: Transport takes the status from net/http, which accepts any three characters that strconv.Atoi parses as a number from 0 up, any single digits as version and several spaces before the status.

Change: Transport checks the beginning of each status line before net/http parses the head, as soon as the bytes arrive: HTTP/1, one space and three digits from 100 to 599. Control characters in the reason phrase and status 101, which no request asks for, are refused too. Such a response is a LostError like other bytes that are no response: the upstream may have run the request, so that its caller gets 502, and a request that may run once is not sent again.

In TestEndlessResponses a line of "x" without end now fails with ErrStatusLine at its first byte, no longer with ErrHeadTooLarge after 32 KiB; "status text" still covers the bound for a line that begins well.

--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -481,11 +481,17 @@
 // readHead reads the head of a response.
 func (pc *persistentConn) readHead(method string) (*http.Response, error) {
 	pc.source.inHead, pc.source.left = true, maxHeadSize
+	defer func() { pc.source.inHead = false }()
+	if err := checkStatusLine(pc.reader); err != nil {
+		return nil, errors.Wrap(err, "read response header")
+	}
 	res, err := http.ReadResponse(pc.reader, &http.Request{Method: method})
-	pc.source.inHead = false
 	if err != nil {
 		return nil, errors.Wrap(err, "read response header")
 	}
+	if err := checkStatus(res); err != nil {
+		return nil, errors.Wrap(err, "read response header")
+	}
 	return res, nil
 }
 
@@ -498,7 +504,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if res.StatusCode >= 100 && res.StatusCode < 200 {
+		if res.StatusCode < minFinalStatus {
 			interim++
 			continue
 		}
--- a/internal/http1/transport_bounds_test.go
+++ b/internal/http1/transport_bounds_test.go
@@ -87,7 +87,7 @@
 		peer endlessPeer
 		want error // nil: any
 	}{
-		"status line":        {endlessPeer{repeated: "x"}, ErrHeadTooLarge},
+		"status line":        {endlessPeer{repeated: "x"}, ErrStatusLine},
 		"status text":        {endlessPeer{prefix: "HTTP/1.1 200 ", repeated: "x"}, ErrHeadTooLarge},
 		"header lines":       {endlessPeer{prefix: ok, repeated: "X: y\r\n"}, ErrHeadTooLarge},
 		"header value":       {endlessPeer{prefix: ok + "X: ", repeated: "y"}, ErrHeadTooLarge},
