http1: a status without a registered text reaches the caller unchanged

What callers saw: an upstream failed a request with 520, and its caller got "200 OK" with the upstream's seal and the body of the failure. It was the same for every status that net/http has no text for, and for requests that may run once.

Cause: the server wrote responses with nbhttp's, which ignores such a status in WriteHeader and sends 200 with the first byte of the body or at the end of the handler.

Change: the server encodes responses itself (responseWriter), as all of them have a length. The reason phrase of an unregistered status is "status code 520", as net/http writes it: it is not empty, because nbhttp's client takes the next line for it then. A status that is not final (200 to 599) resets the connection after the responses before it. The same path had two more ways to send what the handler did not say: a body shorter than its Content-Length left the caller waiting for the rest, and an empty response to HEAD was followed by "0" of a chunked body. The first one resets the connection now, the second has no body.

Evidence: TestUnregisteredStatuses failed before with 200 for 218, 299, 419, 499, 520 and 599, with bodies that are kept and with streamed ones; TestResponseHasStatusOfHandler for all unregistered statuses from 200 to 599, TestInvalidStatusResetsConnection and TestResponsesWithoutBody for the other two.

--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -179,42 +179,53 @@
 
 // orderedWriter delays a response until the previous response of its connection has
 // been written. It buffers a response without Content-Length until the handler
-// returns and then sets the length: nbhttp would use chunked encoding, and from
-// 64 KiB on it then reuses a buffer that it has already released, which corrupts
-// other bodies.
+// returns and then sets the length, so that each response has one.
 type orderedWriter struct {
-	http.ResponseWriter
+	header         http.Header
 	server         *Server
 	request        *http.Request
 	exchange       *exchange
 	slot           *responseSlot
-	started        bool
+	response       responseWriter
+	started        bool // the response is being written, or the handler has aborted it or taken the connection
+	hijacked       bool
 	bufferedStatus int    // status of the buffered response; 0 if none is buffered
 	bufferedBody   []byte // body of the buffered response
 }
 
+// Header returns the headers of the response.
+func (w *orderedWriter) Header() http.Header { return w.header }
+
 // WriteHeader waits for the previous response and writes the header. A status without
-// Content-Length is buffered instead.
+// Content-Length is buffered instead. A status that is not final, 200 to 599, resets the
+// connection: no response would be the one that the handler means.
 func (w *orderedWriter) WriteHeader(status int) {
-	if !w.started && w.Header().Get("Content-Length") == "" {
-		if w.bufferedStatus == 0 {
-			w.bufferedStatus = status
-		}
-		return
+	switch length, known := contentLength(w.header); {
+	case w.started || w.bufferedStatus != 0:
+	case !isFinalStatus(status):
+		w.awaitPrevious()
+		Abort(w)
+	case known:
+		w.start(status, length)
+	default:
+		w.bufferedStatus = status
 	}
-	w.start(status)
 }
 
-func (w *orderedWriter) start(status int) {
-	if !w.started {
-		w.started = true
-		w.awaitPrevious()
-		if w.server.beginResponse(w.exchange, w.slot) {
-			w.Header().Set("Connection", "close")
-			w.request.Close = true
-		}
+// contentLength returns the value of Content-Length, or false if it is missing or invalid.
+func contentLength(h http.Header) (int64, bool) {
+	n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64)
+	return n, err == nil && n >= 0
+}
+
+func (w *orderedWriter) start(status int, length int64) {
+	w.started = true
+	w.awaitPrevious()
+	if w.server.beginResponse(w.exchange, w.slot) {
+		w.header.Set("Connection", "close")
+		w.request.Close = true
 	}
-	w.ResponseWriter.WriteHeader(status)
+	w.response.writeHead(time.Now(), w.request, status, w.header, length)
 }
 
 // Write writes a part of the body, or buffers it if the response has no
@@ -227,13 +238,13 @@
 		w.bufferedBody = append(w.bufferedBody, b...)
 		return len(b), nil
 	}
-	return w.ResponseWriter.Write(b)
+	return w.response.Write(b)
 }
 
 // Flush sends what was written so far.
 func (w *orderedWriter) Flush() {
-	if f, ok := w.ResponseWriter.(http.Flusher); ok && w.started {
-		f.Flush()
+	if w.started {
+		_ = w.response.flush() // the next Write returns the error
 	}
 }
 
@@ -242,7 +253,7 @@
 func Abort(w http.ResponseWriter) {
 	ow := w.(*orderedWriter)
 	ow.started = true
-	_, _, _ = ow.ResponseWriter.(http.Hijacker).Hijack() // keeps nbhttp from completing the response
+	ow.response.close(errResponseAborted)
 	ow.server.mu.Lock()
 	ow.exchange.conn.setClosing(ClosedAborted, true)
 	ow.server.mu.Unlock()
@@ -254,13 +265,10 @@
 
 // Hijack waits for the previous response and hands over the connection.
 func (w *orderedWriter) Hijack() (net.Conn, *bufio.ReadWriter, error) {
-	h, ok := w.ResponseWriter.(http.Hijacker)
-	if !ok {
-		return nil, nil, http.ErrNotSupported
-	}
-	w.started = true
+	w.started, w.hijacked = true, true
 	w.awaitPrevious()
-	return h.Hijack()
+	w.response.close(http.ErrHijacked)
+	return w.exchange.conn, nil, nil
 }
 
 func (w *orderedWriter) awaitPrevious() {
@@ -288,8 +296,9 @@
 	return true
 }
 
-// finishResponse writes a buffered response. If the handler wrote nothing, it sends
-// an empty response, or closes the connection if the caller has disconnected.
+// finishResponse ends the response of a handler that has returned: it writes what is buffered.
+// If the handler wrote nothing, it sends an empty response, or closes the connection if
+// the caller has disconnected.
 func (w *orderedWriter) finishResponse(ctx context.Context) {
 	switch {
 	case w.started:
@@ -300,11 +309,31 @@
 	case w.bufferedStatus == 0:
 		w.bufferedStatus = http.StatusOK
 	}
-	if len(w.bufferedBody) > 0 {
-		w.Header().Set("Content-Length", strconv.Itoa(len(w.bufferedBody)))
+	w.header.Set("Content-Length", strconv.Itoa(len(w.bufferedBody)))
+	if w.bufferedStatus == http.StatusNoContent || w.bufferedStatus == http.StatusNotModified {
+		w.header.Del("Content-Length")
+	}
+	w.start(w.bufferedStatus, int64(len(w.bufferedBody)))
+	_, _ = w.response.Write(w.bufferedBody) // complete detects a failure
+}
+
+// complete sends the rest of the response, and closes the connection if no other request may
+// follow on it. A response with a part of its body missing is aborted: the caller would
+// take the next response for it.
+func (w *orderedWriter) complete() {
+	if !w.started || w.hijacked {
+		return
+	}
+	defer w.response.close(errResponseEnded)
+	switch {
+	case w.response.err != nil:
+	case w.response.incomplete():
+		Abort(w)
+		return
+	default:
+		_ = w.response.flush()
 	}
-	w.start(w.bufferedStatus)
-	if len(w.bufferedBody) > 0 {
-		_, _ = w.ResponseWriter.Write(w.bufferedBody) // fails only if the caller has disconnected
+	if w.response.err != nil || w.request.Close {
+		_ = w.exchange.conn.Close()
 	}
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -96,10 +96,11 @@
 // when its caller disconnects. A caller that only closes its sending side after its
 // requests still gets their responses.
 //
-// It uses nbhttp's parser for heads and its responses, but not its event loop: that closes
-// descriptors on other goroutines than the one that polls them, which then applies events
-// of a closed connection to a new one with the same descriptor number. It reads bodies
-// itself: nbhttp's parser caches and copies them without a bound for the process.
+// It uses nbhttp's parser for heads, but not its event loop: that closes descriptors on
+// other goroutines than the one that polls them, which then applies events of a closed
+// connection to a new one with the same descriptor number. It reads bodies itself: nbhttp's
+// parser caches and copies them without a bound for the process. It writes responses
+// itself: nbhttp's replace a status without a registered text by 200.
 type Server struct {
 	cfg      ServerConfig
 	engine   *nbhttp.Engine // not started; holds the settings of parsers
@@ -365,14 +366,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	x := &exchange{cancel: cancel, conn: connOf(w)}
-	ordered := &orderedWriter{ResponseWriter: w, server: s, request: r, exchange: x, slot: s.takeSlot(r)}
+	ordered := &orderedWriter{header: w.Header(), server: s, request: r, exchange: x, slot: s.takeSlot(r), response: responseWriter{conn: x.conn}}
+	_, _, _ = w.(http.Hijacker).Hijack() // keeps nbhttp from writing a response
 	if !s.startRequest(x) {
-		_, _, _ = ordered.ResponseWriter.(http.Hijacker).Hijack() // keeps nbhttp from writing a response
 		return
 	}
-	defer s.endRequest(x)
 	s.cfg.Handler.ServeHTTP(ordered, r.WithContext(ctx))
 	ordered.finishResponse(ctx)
+	s.endRequest(x)
+	ordered.complete()
 }
 
 // startRequest registers a request. It returns false if the server has closed the
