http1: Pool refuses invalid and interim statuses

Cause: the same as at Transport. nbhttp's parser takes any digits for a status, and copyResponse did not check the range. It does now, and the major version; such a response is a LostError.

Evidence: TestPoolRefusesInvalidStatuses failed for all 8 lines before, and passes. "0200" still counts as 200 there, and nbhttp's parser takes the first header line for the reason phrase if that is empty: it reports neither to its caller.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -520,6 +520,9 @@
 
 // copyResponse copies a response, because nbhttp reuses it after the handler returns.
 func copyResponse(method string, res *http.Response) (*Response, error) {
+	if res.ProtoMajor != 1 || !isFinalStatus(res.StatusCode) {
+		return nil, errors.Wrapf(ErrStatusLine, "%s %d", res.Proto, res.StatusCode)
+	}
 	framed := res.ContentLength >= 0 || len(res.Header["Transfer-Encoding"]) > 0
 	bodiless := method == http.MethodHead || res.StatusCode == http.StatusNoContent || res.StatusCode == http.StatusNotModified
 	if !framed && !bodiless {
--- a/internal/http1/statusline_test.go
+++ b/internal/http1/statusline_test.go
@@ -89,3 +89,17 @@
 		t.Errorf("Do = %v, want ErrStatusLine", err)
 	}
 }
+
+// Guards against an invalid or interim status that Pool returns as that of a response.
+func TestPoolRefusesInvalidStatuses(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 103 Early Hints", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/2.0 200 OK",
+	} {
+		addr := listenRaw(t, line+"\r\nContent-Length: 4\r\n\r\nbody")
+		res, err := newPool(t, addr).Do(t.Context(), &Request{Method: http.MethodGet, Target: "/"})
+		var lost *LostError
+		if !errors.As(err, &lost) || !errors.Is(err, ErrStatusLine) {
+			t.Errorf("%s: Do = %v, %v, want a LostError with ErrStatusLine", line, res, err)
+		}
+	}
+}
