http1: white space around field values is removed from requests

What callers saw: a Request-Id with a space behind it, or a tab before it: the request ran, and its caller got 504 at the time limit. An Api-Key with a space behind it: 401.

Cause: nbhttp's parser skips spaces before a value only, and keeps spaces behind it and tabs. RFC 9110 takes all of these for no part of the value. The upstream removes them from the id that it sends back, which then was not that of the request.

Change: parseHead, which rewrites the head for nbhttp anyway, writes each field without the white space. RequestHead.Field trims nothing else any more, so that the check of the head and the handler see one value.

--- a/internal/http1/headcheck.go
+++ b/internal/http1/headcheck.go
@@ -27,7 +27,7 @@
 	for line := range bytes.Lines(h.raw) {
 		field, value, ok := bytes.Cut(line, []byte(":"))
 		if ok && isField(field, name) {
-			return string(bytes.TrimSpace(value)), true
+			return string(bytes.TrimSuffix(value, []byte("\r\n"))), true
 		}
 	}
 	return "", false
--- a/internal/http1/requesthead.go
+++ b/internal/http1/requesthead.go
@@ -29,8 +29,9 @@
 	errInvalidRequest = errors.New("malformed request head")
 )
 
-// requestHead is the head of a request without the lines that frame its body. Without them
-// nbhttp's parser, which would cache the body, completes the request at the end of the head.
+// requestHead is the head of a request without the lines that frame its body and the white
+// space around field values. Without these lines nbhttp's parser, which would cache the body,
+// completes the request at the end of the head.
 type requestHead struct {
 	raw            []byte
 	length         int64 // of the body in bytes
@@ -102,7 +103,7 @@
 }
 
 // parseHead checks a head by RFC 9112, sections 2.2, 3 and 5 to 7, and removes the lines that
-// frame the body from raw. It refuses what an upstream, or a proxy before this server, could
+// frame the body, and the white space around values, from raw. It refuses what an upstream, or a proxy before this server, could
 // frame in another way.
 func parseHead(raw []byte) (requestHead, error) {
 	h := requestHead{raw: raw[:0]}
@@ -152,7 +153,10 @@
 		case isField(name, "Expect"):
 			h.expectContinue = !http10 && strings.EqualFold(string(value), "100-continue")
 		}
-		h.raw = append(h.raw, line...)
+		// Without the white space around the value, which nbhttp's parser keeps in part. The
+		// result is not longer than the line, whose bytes it replaces.
+		h.raw = append(append(h.raw, name...), ':')
+		h.raw = append(append(h.raw, value...), "\r\n"...)
 	}
 	if lengths+codings > 1 || http10 && codings > 0 {
 		return requestHead{}, errors.Wrap(errInvalidRequest, "ambiguous length")
--- a/internal/http1/requesthead_test.go
+++ b/internal/http1/requesthead_test.go
@@ -120,3 +120,17 @@
 		})
 	}
 }
+
+// Guards against field values that contain the white space around them, which is no part of
+// them and which upstreams remove: an id is not found again in the response then.
+func TestSpaceAroundValuesIsRemoved(t *testing.T) {
+	_, c := listenBodies(t, ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if diff := cmp.Diff(http.Header{"A": {"1"}, "B": {"2"}, "C": {"3 \t 4"}, "D": {""}, "E": {""}, "F": {":"}, "Host": {"h"}}, r.Header); diff != "" {
+			t.Error(diff)
+		}
+	})})
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost:\th \r\nA:1 \r\nb:\t2\t\r\nC:   3 \t 4 \t \r\nD:\r\nE: \t \r\nF: : \r\n\r\n")
+	if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != http.StatusOK {
+		t.Errorf("response %v, error %v, want status 200", res, err)
+	}
+}
