--- a/internal/http1/requesthead_test.go
+++ b/internal/http1/requesthead_test.go
@@ -124,7 +124,7 @@
 // Guards against field values that contain the white space around them, which is no part of
 // them and which upstreams remove: an id is not found again in the response then.
 func TestSpaceAroundValuesIsRemoved(t *testing.T) {
-	_, c := listenBodies(t, ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	_, c := listenBodies(t, ServerConfig{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if diff := cmp.Diff(http.Header{"A": {"1"}, "B": {"2"}, "C": {"3 \t 4"}, "D": {""}, "E": {""}, "F": {":"}, "Host": {"h"}}, r.Header); diff != "" {
 			t.Error(diff)
 		}
