direct: a grant or release is not written long after its decision

Cause, suspected: between the decision and the write nothing checked whether the leader still leads. A goroutine that stood still in between, or a step that did after it had checked the lease, writes at the thaw, before the expired timeout of the call takes effect. A release has a timeout of seconds anyway, and upstreams never refuse one.

Change: sendCalls compares the lease again after the plan, and each call is checked directly before it is written: more than 1 s after its decision it is not. keyspace.Late, the result of such a call, repeats it without counting as a failure of the upstream.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -187,8 +187,9 @@
 
 // HolderClient sends grants and releases of keys to upstreams.
 type HolderClient interface {
-	// Call carries out c.
-	Call(ctx context.Context, addr string, c keyspace.Call) (HolderResponse, error)
+	// Call carries out c. It calls check directly before it writes c, and writes nothing if
+	// that returns an error, which the result wraps.
+	Call(ctx context.Context, addr string, c keyspace.Call, check func() error) (HolderResponse, error)
 }
 
 // HolderResponse is the result of a call to an upstream that grants or releases keys.
--- a/internal/direct/elect_test.go
+++ b/internal/direct/elect_test.go
@@ -1,11 +1,14 @@
 package direct
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/balance"
+	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -96,3 +99,57 @@
 		}
 	}
 }
+
+// holderClientFunc is a HolderClient that executes each call whose check allows it.
+type holderClientFunc func(c keyspace.Call)
+
+func (f holderClientFunc) Call(_ context.Context, _ string, c keyspace.Call, check func() error) (HolderResponse, error) {
+	if err := check(); err != nil {
+		return HolderResponse{Result: keyspace.NotSent}, &http1.NotSentError{Err: err}
+	}
+	f(c)
+	return HolderResponse{Result: keyspace.Done}, nil
+}
+
+// Guards against a grant or release that is written after its leader stood still for so long
+// that the next leader may have moved the keys.
+func TestLateCallIsNotWritten(t *testing.T) {
+	for age, want := range map[time.Duration]keyspace.Result{0: keyspace.Done, maxCallDelay / 2: keyspace.Done, maxCallDelay + time.Millisecond: keyspace.Late, time.Hour: keyspace.Late} {
+		r, _ := newRouter(t, "a")
+		written := 0
+		r.platform.Holders = holderClientFunc(func(keyspace.Call) { written++ })
+		r.upstreams.Replace(time.Now(), []balance.Registration{{ID: "u", Boot: "1", Addr: "127.0.0.1:1", Service: "s", Slots: 1}})
+		l := &leadership{callResults: make(chan callResult, 1), stop: make(chan struct{})}
+		r.sendCall(t.Context(), l, keyspace.Call{Service: "s", Upstream: "u", Boot: "1"}, bootClock()-age)
+		res := <-l.callResults
+		if diff := cmp.Diff([]any{want, want == keyspace.Done}, []any{res.result, written == 1}); diff != "" {
+			t.Errorf("decided on %v ago: (result, written) %s", age, diff)
+		}
+	}
+}
+
+// Guards against calls of a leader whose lease has ended during the step that decided on them.
+// Without a valid lease before it, the store is down for all instances, and the leader goes on.
+func TestLeaseEndsDuringStep(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		leaseLeft         time.Duration
+		leaseWasValid, ok bool
+	}{
+		"valid":              {time.Second, true, true},
+		"ended":              {-time.Millisecond, true, false},
+		"store down for all": {-time.Second, false, true},
+	} {
+		r, _ := newRouter(t, "a")
+		co := keyspace.NewCoordinator(now, 1, keyspace.Timing{Hold: time.Second, Renew: time.Second}, keyspace.Record{
+			Era: fleet.Revision(1).Era(), Services: map[fleet.ServiceID][]keyspace.RecordShard{"s": {{Span: keyspace.Span{From: 0, To: keyspace.Keys - 1}, Holder: "u", Boot: "1", Fence: 1}}},
+		})
+		l := &leadership{coordinator: co, callResults: make(chan callResult, 1), stop: make(chan struct{})}
+		l.validUntil = time.Hour + c.leaseLeft
+		ok := r.sendCalls(t.Context(), now, time.Hour, l, c.leaseWasValid)
+		pending := len(co.Calls(now)) == 0 // calls that were sent are not due again
+		if diff := cmp.Diff([]bool{c.ok, c.ok}, []bool{ok, pending}); diff != "" {
+			t.Errorf("%s: (leads on, call sent) %s", name, diff)
+		}
+	}
+}
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -271,10 +271,7 @@
 	if leaseValid {
 		r.saveRecord(ctx, now, l)
 	}
-	for _, c := range l.coordinator.Calls(now) {
-		r.sendCall(ctx, l, c)
-	}
-	if now.Before(l.publishDue) {
+	if !r.sendCalls(ctx, now, bootClock(), l, leaseValid) || now.Before(l.publishDue) {
 		return true
 	}
 	if holderMap, changed := l.coordinator.Map(); changed {
@@ -410,8 +407,39 @@
 	return true
 }
 
-// sendCall sends a grant or release to an upstream.
-func (r *Router) sendCall(ctx context.Context, l *leadership, c keyspace.Call) {
+// maxCallDelay is how long after its decision a grant or release may be written. The goroutine
+// of a call may stand still in between, for example while the process is frozen, and the next
+// leader may have moved the keys since. It allows for staleLeaderTime of package keyspace.
+const maxCallDelay = time.Second
+
+// errCallLate means that a call was not written within maxCallDelay.
+var errCallLate = errors.Errorf("the call was not written within %v of its decision", maxCallDelay)
+
+// checkCall returns errCallLate if a call that was decided on at decidedAt may no longer be
+// written. Both times are on the clock of bootClock.
+func checkCall(clock, decidedAt time.Duration) error {
+	if clock-decidedAt > maxCallDelay {
+		return errCallLate
+	}
+	return nil
+}
+
+// sendCalls sends the calls that are due. It sends none and returns false if the lease, which was
+// valid at the beginning of the step, has ended since: the process stood still, and the next
+// step decides whether it leads. clock is that of bootClock.
+func (r *Router) sendCalls(ctx context.Context, now time.Time, clock time.Duration, l *leadership, leaseWasValid bool) bool {
+	if leaseWasValid && clock >= l.validUntil {
+		return false
+	}
+	for _, c := range l.coordinator.Calls(now) {
+		r.sendCall(ctx, l, c, clock)
+	}
+	return true
+}
+
+// sendCall sends a grant or release to an upstream, which was decided on at decidedAt on the
+// clock of bootClock.
+func (r *Router) sendCall(ctx context.Context, l *leadership, c keyspace.Call, decidedAt time.Duration) {
 	r.mu.Lock()
 	upstream := r.upstreams.Get(c.Upstream)
 	addr := ""
@@ -428,9 +456,12 @@
 			}
 			sentAt := time.Now()
 			callCtx, cancel := context.WithTimeout(ctx, timeout)
-			answer, err := r.platform.Holders.Call(callCtx, addr, c)
+			answer, err := r.platform.Holders.Call(callCtx, addr, c, func() error { return checkCall(bootClock(), decidedAt) })
 			cancel()
 			res.result, res.handover = answer.Result, answer.Handover
+			if errors.Is(err, errCallLate) {
+				res.result = keyspace.Late
+			}
 			if upstream != nil {
 				r.noteHolderAnswer(sentAt, upstream, answer)
 			}
--- a/internal/keyspace/calls.go
+++ b/internal/keyspace/calls.go
@@ -30,6 +30,7 @@
 	NotSent         // the upstream cannot have received the call
 	NoAnswer        // the upstream may have executed the call or may still do so
 	Gone            // another upstream listens at the address, so that this one has ended and holds nothing
+	Late            // the call was not written, because it was decided on too long ago; says nothing about the upstream
 )
 
 // Calls returns the calls that are due. The caller must report the result of each
@@ -128,6 +129,10 @@
 func (co *Coordinator) CallEnded(now time.Time, c Call, r Result, handover string) {
 	sh := c.shard
 	sh.callPending = false
+	if r == Late {
+		sh.nextCall = now
+		return
+	}
 	co.updateReachability(now, c.Upstream, r)
 	if c.Release {
 		co.releaseEnded(now, sh, r, handover)
@@ -251,5 +256,5 @@
 
 // String returns the name of r in logs and metrics.
 func (r Result) String() string {
-	return [...]string{"done", "conflict", "not-sent", "no-answer", "gone"}[r]
+	return [...]string{"done", "conflict", "not-sent", "no-answer", "gone", "late"}[r]
 }
--- a/internal/keyspace/refused_test.go
+++ b/internal/keyspace/refused_test.go
@@ -101,3 +101,23 @@
 	t.Fatalf("upstream %s holds no key", id)
 	return 0
 }
+
+// Guards against an upstream that counts as unreachable, or loses keys, because its leader was
+// late, and against a late call that is not repeated.
+func TestLateCallIsRepeated(t *testing.T) {
+	now := start
+	o, fakes := NewCoordinator(now, 1, timing, Record{}), newFakeUpstreams(t)
+	o.SetUpstreams(now, archive, usableUpstreams("a", "b"))
+	run(o, fakes, &now, 10*time.Second)
+	now = now.Add(timing.Renew)
+	calls := o.Calls(now)
+	for _, c := range calls {
+		o.CallEnded(now, c, Late, "")
+	}
+	now = now.Add(2 * unreachableSilence)
+	o.Plan(now)
+	again := o.Calls(now)
+	if diff := cmp.Diff([]int{2, 2, 0}, []int{len(calls), len(again), len(o.Moves())}); diff != "" {
+		t.Errorf("(calls, repeated calls, moves) %s", diff)
+	}
+}
