direct: shares of a limit are computed from one report, not from two

Cause: an instance divided the demand in its last report by the leader's sum, which contains an earlier report of it unless the reply is held back. While demand rises, the shares of all instances added up to 1.74.

Change: reports with demand are numbered, and a reply states which report of its receiver the sum contains. sumDemand moves to demand.go.

--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -119,10 +119,12 @@
 
 // member holds what the leader knows about an instance.
 type member struct {
-	addr     string
-	heardAt  time.Time                   // last report
-	demand   map[fleet.AccountID]float64 // requests/s
-	storeAge time.Duration               // since its last successful store call, at heardAt
+	addr    string
+	heardAt time.Time                   // last report
+	demand  map[fleet.AccountID]float64 // requests/s
+	// demandSeq is the number of the instance's report with demand.
+	demandSeq uint64
+	storeAge  time.Duration // since its last successful store call, at heardAt
 	// restorations is the number in the last reply that the instance had when it reported.
 	restorations uint64
 }
@@ -184,7 +186,7 @@
 func (r *Router) lead(ctx context.Context, l *leadership) {
 	r.log.Info("leading", "term", l.term, "record-revision", l.recordRev)
 	r.mu.Lock()
-	r.leadership, r.totalDemand, r.directives = l, nil, nil
+	r.leadership, r.totalDemand, r.directives = l, demandSum{}, nil
 	r.leader = leaderInfo{id: r.cfg.Instance, addr: r.cfg.PeerListen, term: l.term, heardAt: time.Now()}
 	r.mu.Unlock()
 	defer func() {
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -12,7 +12,7 @@
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
-func encodeDemand(e *jx.Encoder, demand map[fleet.AccountID]float64) {
+func encodeDemand(e *jx.Encoder, demand map[fleet.AccountID]float64, seq uint64) {
 	if demand == nil {
 		return
 	}
@@ -23,6 +23,8 @@
 		e.Float64(math.Round(rate*100) / 100)
 	}
 	e.ObjEnd()
+	e.FieldStart("demand-seq")
+	e.UInt64(seq)
 }
 
 func decodeDemand(d *jx.Decoder) (map[fleet.AccountID]float64, error) {
@@ -145,7 +147,7 @@
 	e.FieldStart("operator")
 	e.Str(r.OperatorTag)
 	encodeRestorations(&e, r.Restorations)
-	encodeDemand(&e, r.Demand)
+	encodeDemand(&e, r.Demand, r.DemandSeq)
 	e.FieldStart("speeds")
 	e.ObjStart()
 	for id, s := range r.ServiceTimes { // [answers without a queue, sum of their times in ms, answers with a queue, lost requests]
@@ -225,6 +227,8 @@
 			r.Restorations, err = d.UInt64()
 		case "demand":
 			r.Demand, err = decodeDemand(d)
+		case "demand-seq":
+			r.DemandSeq, err = d.UInt64()
 		case "leaving":
 			r.Leaving, err = decodeRuns(d)
 		case "limit-seq":
@@ -277,7 +281,7 @@
 		e.FieldStart("instances")
 		fleet.EncodePeers(&e, r.Members)
 	}
-	encodeDemand(&e, r.Demand)
+	encodeDemand(&e, r.Demand, r.DemandSeq)
 	e.FieldStart("operator")
 	e.Str(r.OperatorTag)
 	e.FieldStart("operator-seq")
@@ -366,6 +370,8 @@
 			r.Members, err = fleet.DecodePeers(d)
 		case "demand":
 			r.Demand, err = decodeDemand(d)
+		case "demand-seq":
+			r.DemandSeq, err = d.UInt64()
 		case "operator":
 			r.OperatorTag, err = d.Str()
 		case "operator-seq":
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -77,6 +77,7 @@
 	MapVersion    keyspace.MapVersion                  // version of the sender's holder map
 	Keys          map[fleet.ServiceID][]keyspace.Key   // requested by callers since the last report
 	Demand        map[fleet.AccountID]float64          // requests/s; nil if reported recently
+	DemandSeq     uint64                               // number of the sender's report with this Demand
 	ServiceTimes  map[fleet.UpstreamID]balance.Samples // without their curves
 	Curves        map[fleet.UpstreamID]balance.LoadCurve
 	InFlightSeq   uint64         // last version of this leader's limits in flight that the sender has
@@ -121,6 +122,7 @@
 	MapSpans   map[fleet.ServiceID][]keyspace.HeldSpan
 	Members    []fleet.Peer                // empty if unchanged
 	Demand     map[fleet.AccountID]float64 // requests/s of all instances; nil if the report has none, or the sum is unknown
+	DemandSeq  uint64                      // number of the instance's report that Demand contains; 0: not stated
 	List       listDelta
 	Limits     []balance.RunLimit // of upstreams; those that have changed since the sender's version
 	LimitSeq   uint64             // version of the leader's limits
@@ -149,7 +151,7 @@
 	r.addHolderReport(now, &rep)
 	if now.Sub(r.demandReportedAt) >= time.Duration(demandIntervalShare*float64(longPollWait(len(r.instances)))) {
 		rep.Demand, r.demandReportedAt = r.accounts.divided.Demand(now), now
-		r.reportedDemand = rep.Demand
+		rep.DemandSeq = r.demandReports.add(rep.Demand)
 	}
 	r.addAdmission(now, &rep)
 	r.takeSamples(&rep)
@@ -330,7 +332,7 @@
 	r.mu.Lock()
 	r.leader.heardAt = now
 	r.learnAdmission(now, repliedAt, rp.Admission)
-	r.accounts.divided.Learn(now, rp.Demand, r.reportedDemand, r.instanceCount())
+	r.learnDemand(now, rp.Demand, rp.DemandSeq)
 	changed := rp.List.Seq != rep.ListSeq || rp.Term != rep.ListTerm || !r.listDue.IsZero() && !now.Before(r.listDue)
 	var list []balance.Registration
 	if changed {
@@ -493,7 +495,10 @@
 		rp.Members = r.instances
 	}
 	if rep.Demand != nil {
-		rp.Demand = r.totalDemand // sent as often as the instance reports its own; nil until known
+		// Sent as often as the instance reports its own, once the sum contains that.
+		if seq, contained := r.totalDemand.reports[rep.Instance]; contained {
+			rp.Demand, rp.DemandSeq = r.totalDemand.rates, seq
+		}
 	}
 	rp.OperatorAge = now.Sub(r.operatorConfirmedAt)
 	rp.Rollouts, rp.RolloutSeq = r.directives, r.directivesSeq
@@ -514,12 +519,12 @@
 
 // applyReport adds a report to the leader's state.
 func (r *Router) applyReport(now time.Time, l *leadership, rep report) {
-	demand := rep.Demand
-	if demand == nil {
-		demand = l.members[rep.Instance].demand
+	former, reported := l.members[rep.Instance]
+	m := member{addr: rep.Addr, heardAt: now, demand: rep.Demand, demandSeq: rep.DemandSeq, storeAge: rep.StoreAge, restorations: rep.Restorations}
+	if rep.Demand == nil {
+		m.demand, m.demandSeq = former.demand, former.demandSeq
 	}
-	_, reported := l.members[rep.Instance]
-	l.members[rep.Instance] = member{addr: rep.Addr, heardAt: now, demand: demand, storeAge: rep.StoreAge, restorations: rep.Restorations}
+	l.members[rep.Instance] = m
 	if reported {
 		l.countKeys(rep)
 	}
@@ -550,37 +555,3 @@
 		}
 	}
 }
-
-// minDemandShare is the share of the instances that must have reported their demand to
-// a new leader before it sends the sum.
-const minDemandShare = 0.9
-
-// sumDemand adds up the reported demand. It runs with each plan and not with each
-// report, where its cost would grow with the square of the number of instances. For up
-// to fleetSettleTime, the sum is withheld until minDemandShare of the instances have
-// reported: from a sum that lacks most instances, the others would overestimate their
-// own shares of the demand, and admit too many requests.
-func (r *Router) sumDemand(now time.Time, l *leadership) {
-	reporting := 0
-	for _, m := range l.members {
-		if m.demand != nil {
-			reporting++
-		}
-	}
-	r.mu.Lock()
-	known := float64(reporting) >= minDemandShare*float64(len(r.instances))
-	r.mu.Unlock()
-	if !known && now.Sub(l.startedAt) < fleetSettleTime {
-		return
-	}
-	total := make(map[fleet.AccountID]float64)
-	for _, m := range l.members {
-		for id, d := range m.demand {
-			total[id] += d
-		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.totalDemand = total
-	r.accounts.divided.Learn(now, total, r.reportedDemand, r.instanceCount())
-}
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -20,8 +20,8 @@
 func TestReportRoundTrip(t *testing.T) {
 	rep := report{
 		Instance: "i1", Addr: "1.2.3.4:6", Restorations: 2, MapVersion: keyspace.MapVersion{Term: 3, Seq: 9},
-		Keys:         map[fleet.ServiceID][]keyspace.Key{"s": {1, 65535}},
-		Demand:       map[fleet.AccountID]float64{"a": 12.5},
+		Keys:   map[fleet.ServiceID][]keyspace.Key{"s": {1, 65535}},
+		Demand: map[fleet.AccountID]float64{"a": 12.5}, DemandSeq: 5,
 		ServiceTimes: map[fleet.UpstreamID]balance.Samples{"u": {Unqueued: 2, UnqueuedSeconds: 0.25, Queued: 3, Lost: 1}},
 		Curves:       map[fleet.UpstreamID]balance.LoadCurve{"u": {Answers: 2, InFlight: 5, InFlightSquares: 13, Seconds: 0.25, SecondsSquares: 0.03125, Products: 0.625}},
 		InFlightSeq:  6,
@@ -49,7 +49,7 @@
 		MapSpans: map[fleet.ServiceID][]keyspace.HeldSpan{"s": {
 			{Span: keyspace.Span{From: 0, To: 9}, Holder: "u"}, {Span: keyspace.Span{From: 10, To: 65535}},
 		}},
-		Members: []fleet.Peer{{ID: "i1", Addr: "1.2.3.4:6"}}, Demand: map[fleet.AccountID]float64{"a": 3},
+		Members: []fleet.Peer{{ID: "i1", Addr: "1.2.3.4:6"}}, Demand: map[fleet.AccountID]float64{"a": 3}, DemandSeq: 4,
 		Admission:   admission.Shares{{Service: "s"}: {1, 1, 0.5}, {Service: "s", Holder: "u"}: {0.5}},
 		InFlight:    inFlightReply{Limits: []balance.InFlightLimit{{ID: "u", Boot: "1", Limit: 2.5}}, Seq: 9},
 		OperatorTag: "5 [z]", OperatorSeq: 4, OperatorAge: 20 * time.Millisecond,
@@ -212,7 +212,7 @@
 	l := &leadership{members: map[fleet.InstanceID]member{"b": {demand: map[fleet.AccountID]float64{"x": 7}}}, coordinator: keyspace.NewCoordinator(now, 1, keyspace.Timing{}, keyspace.Record{})}
 	r.applyReport(now, l, report{Instance: "b"})
 	r.sumDemand(now, l)
-	if diff := cmp.Diff(map[fleet.AccountID]float64{"x": 7}, r.totalDemand); diff != "" {
+	if diff := cmp.Diff(map[fleet.AccountID]float64{"x": 7}, r.totalDemand.rates); diff != "" {
 		t.Error("after a report without demand: ", diff)
 	}
 }
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -106,10 +106,10 @@
 	invalidLimitLoggedAt time.Time               // last log line about an invalid limit
 
 	// Data for reports to the leader, and from its replies.
-	leader         leaderInfo
-	requestedKeys  map[fleet.ServiceID][]keyspace.Key // by callers since the last report
-	reportedDemand map[fleet.AccountID]float64        // in the last report with demand
-	// demandReportedAt is the time of that report.
+	leader        leaderInfo
+	requestedKeys map[fleet.ServiceID][]keyspace.Key // by callers since the last report
+	demandReports demandReports
+	// demandReportedAt is the time of the last report with demand.
 	demandReportedAt    time.Time
 	listReplica         listReplica
 	listFromStore       bool          // the list of upstreams in use is not listReplica, but was read from the store or received from an earlier leader
@@ -135,7 +135,7 @@
 	leaderList    *leaderList
 	recentMaps    map[keyspace.MapVersion]*keyspace.Map // base maps for the changes in replies
 	operatorSeq   uint64                                // version of the operator state; counts its changes
-	totalDemand   map[fleet.AccountID]float64           // requests/s of all instances
+	totalDemand   demandSum
 }
 
 // New returns an instance, to be started by Run.
