--- a/internal/direct/demand.go
+++ b/internal/direct/demand.go
@@ -8,8 +8,8 @@
 
 // The share of an instance in the demand for an account is the demand that it has reported,
 // divided by the leader's sum of all reports. The sum states which report of the instance it
-// contains. With a later one the shares of all instances would add up to far more than 1 while
-// the demand rises: to 1.7, when it rose to 15 times within a second.
+// contains. With a later one the shares of all instances added up to 1.7 while the demand of an
+// account rose to 15 times within a second.
 
 // demandSum is the sum of the demand that instances have reported to the leader.
 type demandSum struct {
--- a/internal/direct/elect_test.go
+++ b/internal/direct/elect_test.go
@@ -111,7 +111,7 @@
 	return HolderResponse{Result: keyspace.Done}, nil
 }
 
-// Guards against a grant or release that is written after its leader stood still for so long
+// Guards against a grant or release that is written after its leader was suspended for so long
 // that the next leader may have moved the keys.
 func TestLateCallIsNotWritten(t *testing.T) {
 	for age, want := range map[time.Duration]keyspace.Result{0: keyspace.Done, maxCallDelay / 2: keyspace.Done, maxCallDelay + time.Millisecond: keyspace.Late, time.Hour: keyspace.Late} {
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -409,9 +409,9 @@
 	return true
 }
 
-// maxCallDelay is how long after its decision a grant or release may be written. The goroutine
-// of a call may stand still in between, for example while the process is frozen, and the next
-// leader may have moved the keys since. It allows for staleLeaderTime of package keyspace.
+// maxCallDelay is how long after its decision a grant or release may be written. If the process
+// is suspended in between, the next leader may have moved the keys. It is shorter than
+// staleLeaderTime of package keyspace, for which the next leader expects such calls.
 const maxCallDelay = time.Second
 
 // errCallLate means that a call was not written within maxCallDelay.
@@ -427,8 +427,8 @@
 }
 
 // sendCalls sends the calls that are due. It sends none and returns false if the lease, which was
-// valid at the beginning of the step, has ended since: the process stood still, and the next
-// step decides whether it leads. clock is that of bootClock.
+// valid at the beginning of the step, has ended since: the process was suspended, and the
+// next step decides whether it leads. clock is that of bootClock.
 func (r *Router) sendCalls(ctx context.Context, now time.Time, clock time.Duration, l *leadership, leaseWasValid bool) bool {
 	if leaseWasValid && clock >= l.validUntil {
 		return false
--- a/internal/http1/requesthead.go
+++ b/internal/http1/requesthead.go
@@ -103,8 +103,8 @@
 }
 
 // parseHead checks a head by RFC 9112, sections 2.2, 3 and 5 to 7, and removes the lines that
-// frame the body, and the white space around values, from raw. It refuses what an upstream, or a proxy before this server, could
-// frame in another way.
+// frame the body, and the white space around values, from raw. It refuses what an upstream, or
+// a proxy before this server, could frame in another way.
 func parseHead(raw []byte) (requestHead, error) {
 	h := requestHead{raw: raw[:0]}
 	http10 := false
