soak: TestHangupEndsCommands does not depend on how the tests are started

Cause: nohup ignores SIGHUP, the command inherits that and reads on until the test closes its pipe.

Change: the test handles SIGHUP while it starts the command, so that the signal has its default action there. What it expects is the same.

--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -104,6 +105,11 @@
 	if err := syscall.Mkfifo(name, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	// The command must not inherit that SIGHUP is ignored, as it is under nohup: a signal that the
+	// parent handles has its default action in the child.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	cmd := exec.Command(program, append(args, name)...)
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
