http1: a reset during an upload ends no response

Callers got a part of a response as a complete one when their upstream answered an upload with a 200 without a length and reset the connection while the upload was being written.

Cause: the system reports ECONNRESET to one call. If the write of the request received it, the read of the body found the end of the stream, as after a FIN, and Transport took that for the end of the body.

Change: if such a body ends while the request is being written, Transport checks whether the connection is closed in both directions, and if so, which error the write has received. EPIPE follows a FIN, so that the body is complete; any other error makes the response lost.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -7,7 +7,8 @@
 // LostError that the peer may have received the request. A connection whose request
 // did not end with a complete response is closed and not reused. Pool rejects a
 // response with neither Content-Length nor chunked encoding, because the end of such
-// a response cannot be distinguished from a truncated one.
+// a response cannot be distinguished from a truncated one. Transport accepts it if the
+// peer has ended the connection by a FIN.
 package http1
 
 import (
--- a/internal/http1/requestwrite.go
+++ b/internal/http1/requestwrite.go
@@ -121,7 +121,8 @@
 type bodyWriter struct {
 	conn  net.Conn
 	stall time.Duration
-	share *bodyShare // held from start until dropShare
+	share *bodyShare    // held from start until dropShare
+	done  chan struct{} // closed by finish
 
 	dropOnce sync.Once
 	mu       sync.Mutex
@@ -149,7 +150,7 @@
 	if stall <= 0 {
 		stall = defaultWriteStallTimeout
 	}
-	return &bodyWriter{conn: pc.conn, stall: stall, share: share, rest: append([][]byte(nil), req.bodyChunks()...)}
+	return &bodyWriter{conn: pc.conn, stall: stall, share: share, done: make(chan struct{}), rest: append([][]byte(nil), req.bodyChunks()...)}
 }
 
 // start writes the body on a goroutine of its own.
@@ -231,8 +232,9 @@
 
 // finish records that nothing more is written. If writing has failed and no response has
 // begun to arrive, waiting for one ends: at once after a stall, else after the time in which
-// a response that the peer sent before it closed the connection arrives.
+// a response that the peer sent before it closed the connection arrives. It is called once.
 func (w *bodyWriter) finish(err error) {
+	defer close(w.done)
 	w.mu.Lock()
 	if w.ended && err == nil {
 		err = errWriteEnded
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -292,7 +292,7 @@
 		return nil, &NotSentError{Addr: addr, Err: err}
 	case err != nil && ctx.Err() == nil: // the peer may have responded before it closed the connection
 		if w == nil {
-			w = &bodyWriter{conn: pc.conn}
+			w = &bodyWriter{conn: pc.conn, done: make(chan struct{})}
 		}
 		w.finish(err)
 	case err == nil && w != nil:
@@ -301,7 +301,7 @@
 	if w != nil {
 		accept = w.accepting(accept)
 	}
-	res, keep, err := pc.readResponse(req, t.cfg, accept)
+	res, keep, err := pc.readResponse(req, t.cfg, w, accept)
 	stopped := stop()
 	if err == nil && res.Stream != nil {
 		res.Stream.writer = w
@@ -496,8 +496,9 @@
 }
 
 // readResponse returns the first response that accept returns true for, and whether
-// the connection can be reused. The body of the response counts in cfg.Bodies.
-func (pc *persistentConn) readResponse(req *Request, cfg TransportConfig, accept func(*Response) bool) (*Response, bool, error) {
+// the connection can be reused. The body of the response counts in cfg.Bodies. w writes
+// the request, and is nil if that has been written.
+func (pc *persistentConn) readResponse(req *Request, cfg TransportConfig, w *bodyWriter, accept func(*Response) bool) (*Response, bool, error) {
 	interim, skipped, skippedSize := 0, 0, int64(0)
 	for interim <= maxInterim && skipped <= maxSkipped {
 		res, err := pc.readHead(req.Method)
@@ -531,6 +532,12 @@
 		if response.Body, err = readBody(res, cfg.MaxBody, cfg.Bodies); err != nil {
 			return nil, false, err
 		}
+		if endsWithConn(res) {
+			if err := w.checkStreamEnd(); err != nil {
+				cfg.Bodies.release(int64(cap(response.Body)))
+				return nil, false, errors.Wrap(err, "read response body")
+			}
+		}
 		response.Trailer = res.Trailer
 		return response, !res.Close && pc.reader.Buffered() == 0, nil
 	}
