http1: responses with malformed field lines are refused

Callers got responses in whose head the name of a field held a space: with that line as it was, or with a body that was not the upstream's, as the line framed it.

Cause: heads were taken as the parsers read them. net/http keeps a name with a space as a name of its own, nbhttp's parser drops the space; only the status line was checked.

Change: both clients check each field line of heads, interim heads and trailers by the grammar of RFC 9112, section 5, before the parser uses it; in trailers, Transport checks the names that net/http has parsed. A refused response is lost, so that callers get 502.

TestWellFormedHeadsAreAccepted passes before and after.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -63,7 +63,12 @@
 	// nbio duplicates descriptors without close-on-exec. If a child process inherits
 	// one, epoll still delivers events for it after this process has closed it, and
 	// these events close any new connection with the same descriptor number.
-	engine.Engine.OnOpen(func(c *nbio.Conn) { syscall.CloseOnExec(c.Hash()) })
+	engine.Engine.OnOpen(func(c *nbio.Conn) {
+		syscall.CloseOnExec(c.Hash())
+		if _, ok := c.Session().(*nbhttp.Parser); ok { // not that of loopBarrier
+			scanResponses(c)
+		}
+	})
 	if err := engine.Start(); err != nil {
 		return nil, errors.Wrap(err, "start client engine")
 	}
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -171,7 +171,7 @@
 // persistentConn is a connection of a Transport, which serves one request at a time.
 type persistentConn struct {
 	conn    net.Conn
-	source  *headLimiter // reads from conn
+	source  *headReader // reads from conn
 	reader  *bufio.Reader
 	expires time.Time
 	// answered states that a response, other than an interim one, has arrived.
@@ -184,26 +184,50 @@
 // that net/http sets on a trailer and on the line with the size of a chunk.
 const readBufferSize = 2 << 10
 
-// headLimiter reads from a connection and bounds the bytes of a response head.
-type headLimiter struct {
-	conn   net.Conn
-	inHead bool
-	left   int // bytes that may still be read while inHead
+// headReader reads from a connection. It checks response heads, and bounds their bytes.
+type headReader struct {
+	conn    net.Conn
+	inHead  bool
+	left    int         // bytes that may still be read while inHead
+	scanner headScanner // of the head
+	err     error       // of scanner; returned again since net/http ignores errors where it looks ahead
 }
 
-// Read returns ErrHeadTooLarge if the head exceeds its bound.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.inHead {
-		return l.conn.Read(p)
+// Read returns ErrHeadTooLarge if the head exceeds its bound, and ErrFieldLine without the bytes
+// in which a malformed line ends.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.inHead {
+		return r.conn.Read(p)
 	}
-	if l.left <= 0 {
+	switch {
+	case r.err != nil:
+		return 0, r.err
+	case r.left <= 0:
 		return 0, ErrHeadTooLarge
 	}
-	n, err := l.conn.Read(p[:min(len(p), l.left)])
-	l.left -= n
+	n, err := r.conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	if _, r.err = r.scanner.scan(p[:n]); r.err != nil {
+		return 0, r.err
+	}
 	return n, err
 }
 
+// beginHead states that the next response head begins with the bytes that buffer contains, which
+// Read has returned before.
+func (r *headReader) beginHead(buffer *bufio.Reader) error {
+	r.inHead, r.left, r.scanner = true, maxHeadSize, headScanner{}
+	buffered, err := buffer.Peek(buffer.Buffered())
+	if err != nil {
+		return err
+	}
+	_, err = r.scanner.scan(buffered)
+	return err
+}
+
+// endHead states that the head has been read.
+func (r *headReader) endHead() { r.inHead, r.scanner = false, headScanner{} }
+
 // CloseIdle closes the idle connections to addr.
 func (t *Transport) CloseIdle(addr string) {
 	t.mu.Lock()
@@ -376,7 +400,7 @@
 			return nil, false, ErrConnRejected
 		}
 	}
-	source := &headLimiter{conn: conn}
+	source := &headReader{conn: conn}
 	return &persistentConn{conn: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, false, nil
 }
 
@@ -480,8 +504,10 @@
 
 // readHead reads the head of a response.
 func (pc *persistentConn) readHead(method string) (*http.Response, error) {
-	pc.source.inHead, pc.source.left = true, maxHeadSize
-	defer func() { pc.source.inHead = false }()
+	defer pc.source.endHead()
+	if err := pc.source.beginHead(pc.reader); err != nil {
+		return nil, errors.Wrap(err, "read response header")
+	}
 	if err := checkStatusLine(pc.reader); err != nil {
 		return nil, errors.Wrap(err, "read response header")
 	}
@@ -523,6 +549,9 @@
 			if skippedSize += n; skippedSize > maxSkippedSize {
 				return nil, false, ErrSkippedTooLarge
 			}
+			if err := checkTrailer(res.Trailer); err != nil {
+				return nil, false, errors.Wrap(err, "read response trailer")
+			}
 			continue
 		}
 		if cfg.streams(req, res) {
@@ -532,14 +561,27 @@
 		if response.Body, err = readBody(res, cfg.MaxBody, cfg.Bodies); err != nil {
 			return nil, false, err
 		}
-		if endsWithConn(res) {
-			if err := w.checkStreamEnd(); err != nil {
-				cfg.Bodies.release(int64(cap(response.Body)))
-				return nil, false, errors.Wrap(err, "read response body")
-			}
+		if err := checkEnd(res, w); err != nil {
+			cfg.Bodies.release(int64(cap(response.Body)))
+			return nil, false, err
 		}
 		response.Trailer = res.Trailer
 		return response, !res.Close && pc.reader.Buffered() == 0, nil
 	}
 	return nil, false, ErrTooManyResponses
 }
+
+// checkEnd checks what follows the body of res, which has been read: its trailer, or the end of
+// the connection. w writes the request.
+func checkEnd(res *http.Response, w *bodyWriter) error {
+	if err := checkTrailer(res.Trailer); err != nil {
+		return errors.Wrap(err, "read response trailer")
+	}
+	if !endsWithConn(res) {
+		return nil
+	}
+	if err := w.checkStreamEnd(); err != nil {
+		return errors.Wrap(err, "read response body")
+	}
+	return nil
+}
