http1: responses with contradictory lengths are refused by Pool

Callers of an instance in the role serve could get a part of a body: of several lengths that differ, the first one counted, and +4 was a length.

Cause: nbhttp's parser takes the first Content-Length and parses signs, and nothing checked the length before it.

Change: headScanner, which checks the heads for both clients, refuses lengths with other characters than digits, and lengths that differ. Equal ones are accepted, as before.

--- a/internal/http1/responsehead.go
+++ b/internal/http1/responsehead.go
@@ -7,15 +7,19 @@
 	"github.com/go-faster/errors"
 )
 
-// ErrFieldLine is what a LostError wraps if a field line in the head, an interim head or the
-// trailer of a response does not follow the grammar of RFC 9112.
-var ErrFieldLine = errors.New("the response has a malformed field line")
+// Errors that a LostError wraps if a head, an interim head or the trailer of a response does not
+// follow RFC 9112.
+var (
+	ErrFieldLine = errors.New("the response has a malformed field line")
+	ErrFraming   = errors.New("the response does not state the length of its body in a valid way")
+)
 
 // headScanner checks the head of a response, or its trailer, while it arrives. It refuses field
 // lines that do not follow the grammar of RFC 9112, section 5: the name is a token, directly
 // followed by a colon, and the value contains no control characters but tabs. Parsers differ in
 // what they take such a line for. A folded line (section 5.2), which a proxy may refuse, cannot be
-// distinguished from a name that begins with white space.
+// distinguished from a name that begins with white space. It also refuses lengths that are not
+// valid or that differ (section 6.3).
 //
 // The status line is not checked. The zero value is ready for use.
 type headScanner struct {
@@ -24,7 +28,7 @@
 	ended     bool   // the empty line has arrived
 	chunked   bool   // there is a Transfer-Encoding
 	hasLength bool
-	length    int64 // value of the first Content-Length
+	length    int64 // value of Content-Length
 }
 
 // scan checks the bytes of p up to the end of the head, and returns how many these are.
@@ -66,8 +70,12 @@
 	switch {
 	case isField(name, "Transfer-Encoding"):
 		s.chunked = true
-	case isField(name, "Content-Length") && !s.hasLength:
-		s.length, s.hasLength = parseLength(bytes.Trim(value, " \t"))
+	case isField(name, "Content-Length"):
+		length, ok := parseLength(bytes.Trim(value, " \t"))
+		if !ok || s.hasLength && length != s.length {
+			return errors.Wrapf(ErrFraming, "%.100q", line)
+		}
+		s.length, s.hasLength = length, true
 	}
 	return nil
 }
