http1: transfer codings in HTTP/1.0 are refused

Callers got a body with the sizes of its chunks in it when an upstream answered in HTTP/1.0 with a transfer coding.

Cause: that version has no transfer codings, so that net/http removes the field and reads up to the end of the connection. The framing of a response was not checked before the parser interpreted it.

Change: headScanner refuses such a head, as RFC 9112, section 6.1, has it treated as faulty.

Responses in HTTP/1.0 with a length or up to the end of their connection are accepted (TestWellFormedHeadsAreAccepted). The tests of internal/http1 pass with the race detector.

--- a/internal/http1/responsehead.go
+++ b/internal/http1/responsehead.go
@@ -19,14 +19,15 @@
 // followed by a colon, and the value contains no control characters but tabs. Parsers differ in
 // what they take such a line for. A folded line (section 5.2), which a proxy may refuse, cannot be
 // distinguished from a name that begins with white space. It also refuses lengths that are not
-// valid or that differ (section 6.3).
+// valid or that differ (section 6.3), and transfer codings in HTTP/1.0 (section 6.1).
 //
 // The status line is not checked. The zero value is ready for use.
 type headScanner struct {
 	partial   []byte // beginning of a line whose end has not arrived
 	inFields  bool   // the status line has ended; true from the start for a trailer
 	ended     bool   // the empty line has arrived
-	chunked   bool   // there is a Transfer-Encoding
+	http10    bool
+	chunked   bool // there is a Transfer-Encoding
 	hasLength bool
 	length    int64 // value of Content-Length
 }
@@ -57,7 +58,7 @@
 	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
 	switch {
 	case !s.inFields:
-		s.inFields = true
+		s.inFields, s.http10 = true, bytes.HasPrefix(line, []byte("HTTP/1.0"))
 		return nil
 	case len(line) == 0:
 		s.ended = true
@@ -69,6 +70,9 @@
 	}
 	switch {
 	case isField(name, "Transfer-Encoding"):
+		if s.http10 {
+			return errors.Wrapf(ErrFraming, "%.100q in HTTP/1.0", line)
+		}
 		s.chunked = true
 	case isField(name, "Content-Length"):
 		length, ok := parseLength(bytes.Trim(value, " \t"))
--- a/internal/http1/responsehead_test.go
+++ b/internal/http1/responsehead_test.go
@@ -20,7 +20,7 @@
 )
 
 // brokenHeads are responses whose heads, interim heads or trailers do not follow the grammar of
-// RFC 9112, or state the length of the body in two ways.
+// RFC 9112, or do not state the length of the body in one valid way.
 var brokenHeads = map[string]string{
 	"space behind a name":          okLine + "X-Trace : 1\r\n" + okBody,
 	"space behind the last name":   okLine + "Content-Length: 4\r\nX-Trace : 1\r\n\r\nbody",
@@ -46,10 +46,11 @@
 	"CR in a value":                okLine + "X-Trace: a\rb\r\n" + okBody,
 	"DEL in a value":               okLine + "X-Trace: a\x7fb\r\n" + okBody,
 
-	"two lengths":     okLine + "Content-Length: 3\r\n" + okBody,
-	"signed length":   okLine + "Content-Length: +4\r\n\r\nbody",
-	"negative length": okLine + "Content-Length: -4\r\n\r\nbody",
-	"empty length":    okLine + "Content-Length:\r\n" + okBody,
+	"two lengths":        okLine + "Content-Length: 3\r\n" + okBody,
+	"signed length":      okLine + "Content-Length: +4\r\n\r\nbody",
+	"negative length":    okLine + "Content-Length: -4\r\n\r\nbody",
+	"empty length":       okLine + "Content-Length:\r\n" + okBody,
+	"coding in HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 
 	"interim head, space behind a name":        "HTTP/1.1 103 Early Hints\r\nLink : </x>\r\n\r\n" + okLine + okBody,
 	"interim head, control byte in a name":     "HTTP/1.1 103 Early Hints\r\nLi\x01nk: </x>\r\n\r\n" + okLine + okBody,
