--- a/internal/http1/responsehead_test.go
+++ b/internal/http1/responsehead_test.go
@@ -46,12 +46,16 @@
 	"CR in a value":                okLine + "X-Trace: a\rb\r\n" + okBody,
 	"DEL in a value":               okLine + "X-Trace: a\x7fb\r\n" + okBody,
 
-	"two lengths":        okLine + "Content-Length: 3\r\n" + okBody,
-	"signed length":      okLine + "Content-Length: +4\r\n\r\nbody",
-	"negative length":    okLine + "Content-Length: -4\r\n\r\nbody",
-	"empty length":       okLine + "Content-Length:\r\n" + okBody,
-	"coding in HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"two lengths":                        okLine + "Content-Length: 3\r\n" + okBody,
+	"signed length":                      okLine + "Content-Length: +4\r\n\r\nbody",
+	"negative length":                    okLine + "Content-Length: -4\r\n\r\nbody",
+	"empty length":                       okLine + "Content-Length:\r\n" + okBody,
+	"coding in HTTP/1.0":                 "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"status 000":                         "HTTP/1.1 000 OK\r\n" + okBody,
+	"status 000 without a reason phrase": "HTTP/1.1 000\r\n" + okBody,
+	"status 600":                         "HTTP/1.1 600 OK\r\n" + okBody,
 
+	"interim status 000":                       "HTTP/1.1 000 OK\r\n\r\n" + okLine + okBody,
 	"interim head, space behind a name":        "HTTP/1.1 103 Early Hints\r\nLink : </x>\r\n\r\n" + okLine + okBody,
 	"interim head, control byte in a name":     "HTTP/1.1 103 Early Hints\r\nLi\x01nk: </x>\r\n\r\n" + okLine + okBody,
 	"second interim head, space behind a name": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink : </x>\r\n\r\n" + okLine + okBody,
@@ -84,11 +88,12 @@
 
 // soundForTransport are responses that Pool does not support.
 var soundForTransport = map[string]string{
-	"interim head":        "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + okLine + okBody,
-	"line feeds alone":    "HTTP/1.1 200 OK\nX-Trace: 1\nContent-Length: 4\n\nbody",
-	"until close":         okLine + "\r\nbody",
-	"undeclared trailer":  okLine + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n",
-	"coding and a length": okLine + "Transfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"interim head":            "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + okLine + okBody,
+	"line feeds alone":        "HTTP/1.1 200 OK\nX-Trace: 1\nContent-Length: 4\n\nbody",
+	"until close":             okLine + "\r\nbody",
+	"until close in HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\nbody",
+	"undeclared trailer":      okLine + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n",
+	"coding and a length":     okLine + "Transfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 }
 
 // listenBytes starts a peer that answers the first request on each connection with response, in
