--- a/internal/http1/streamend_linux_test.go
+++ b/internal/http1/streamend_linux_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +57,47 @@
 	}
 }
 
+// Guards against a part of a framed body that either client returns as a complete one after a
+// reset during an upload, and against a Pool that returns a body up to the end of its connection.
+func TestResetEndsNoFramedBody(t *testing.T) {
+	long := strings.Repeat("x", 150_000)
+	for name, response := range map[string]string{
+		"until close":           bodyUntilClose + "part",
+		"length":                "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\npart",
+		"stream":                "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + long,
+		"chunks":                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"chunks without an end": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+		"head":                  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+		"behind an interim one": "HTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, after %v", name, delay), func(t *testing.T) {
+				t.Parallel()
+				addr := startPeer(t, func(c *net.TCPConn, r *bufio.Reader) {
+					if _, err := http.ReadRequest(r); err == nil {
+						_, _ = io.WriteString(c, response)
+						<-time.After(delay)
+						_ = c.SetLinger(0)
+					}
+				})
+				tr, pool := NewTransport(writeConfig()), newPool(t, addr)
+				for range tries {
+					res, err := tr.Do(t.Context(), addr, post(8<<20), nil)
+					if err == nil && res.Stream != nil {
+						_, err = io.Copy(io.Discard, res.Stream)
+					}
+					if err == nil {
+						t.Errorf("Transport: response %+v, want an error", res)
+					}
+					if res, err := pool.Do(t.Context(), &Request{Method: http.MethodPost, Target: "/", Body: make([]byte, 8<<20)}); err == nil {
+						t.Errorf("Pool: response %+v, want an error", res)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Guards against complete responses that are refused: bodies up to the end of their connection,
 // also if they end before the request has been written, and bodies with a length or in chunks.
 func TestSoundEndsOfBodies(t *testing.T) {
