--- a/internal/http1/streamend.go
+++ b/internal/http1/streamend.go
@@ -49,7 +49,7 @@
 	return nil
 }
 
-// isClosed reports whether conn is closed in both directions.
+// isClosed reports whether conn is closed in both directions, or has no descriptor to tell.
 func isClosed(conn net.Conn) (bool, error) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -193,8 +193,8 @@
 	err     error       // of scanner; returned again since net/http ignores errors where it looks ahead
 }
 
-// Read returns ErrHeadTooLarge if the head exceeds its bound, and ErrFieldLine without the bytes
-// in which a malformed line ends.
+// Read returns ErrHeadTooLarge if the head exceeds its bound, and the error of scanner instead of
+// bytes that it refuses.
 func (r *headReader) Read(p []byte) (int, error) {
 	if !r.inHead {
 		return r.conn.Read(p)
