direct, keyspace, quorum: a leader that the store rejects goes on with the support of the recorded instances only

Cause: a leader without a valid lease went on while a majority of the instances that it counted reported to it. It counted those that had reported within 4 s before its lease ended, itself included, so that a leader that was alone was its own majority for as long as the store rejected it. Its successor, which the store had elected, waited for 1.5 s. The invariant of package keyspace that a key is granted to another upstream only after every grant of the holder has expired was untrue for grants of the first leader after that time; a holder that had started again knew no fencing token and took them.

Change: the instances in the stored ownership record decide. A leader goes on without a valid lease for 10 s at most, and only while more than half of the recorded instances have acknowledged a reply of the last 1.2 s. The successor reads the same record. Until half of these instances follow it, and their support of earlier leaders has run out, or else for 10.2 s, it renews the recorded grants only and moves no key. It announces its election to instances that do not report to it, so that a rejected leader ends at once if it can be reached. A record of a leader that does not know yet states so (former-lead). Package quorum holds the decision and takes the time as an argument.

What TestStoreDownForAll asked of reports it now asks of acknowledgements, with the same cases and results.

--- a/internal/direct/elect.go
+++ b/internal/direct/elect.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/quorum"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -54,6 +55,9 @@
 // leadership if this instance was elected, and nil if another one leads.
 func (r *Router) findLeader(ctx context.Context) *leadership {
 	for ctx.Err() == nil {
+		if r.followAnnounced() {
+			return nil
+		}
 		info, _, err := r.readLeader(ctx)
 		switch {
 		case err == nil && r.isSilentLeader(info):
@@ -131,6 +135,9 @@
 	r.mu.Lock()
 	r.noteEra(info.heardAt, info.term.Era())
 	changed := r.leader.term != info.term
+	if changed {
+		r.formerHeardAt = latest(r.formerHeardAt, r.leader.heardAt)
+	}
 	r.leader = info
 	if changed {
 		r.demandReportedAt = time.Time{} // no demand has been reported to this leader
@@ -206,9 +213,11 @@
 		r.mu.Unlock()
 		r.log.Warn("ownership record is from before the store was restored", "record-era", uint64(record.Era), "term", l.term)
 	}
+	l.support = quorum.NewSupport(r.cfg.Instance, storedElectorate(record, l.term))
+	l.succession = quorum.NewSuccession(l.startedAt, formerElectorate(record, recordRev != 0, l.term))
 	l.recordRev, l.recordedInstances, l.recordedCount = recordRev, record.Instances, len(record.Instances)
-	l.coordinator = keyspace.NewCoordinator(time.Now(), l.term, keyspace.Timing{
-		Hold: min(minGrantTTL, r.cfg.MaxGrantTTL), Renew: grantRenewInterval, Retry: grantRetryDelay, UnknownHold: r.longestGrantTTL(),
+	l.coordinator = keyspace.NewCoordinator(l.startedAt, l.term, keyspace.Timing{
+		Hold: min(minGrantTTL, r.cfg.MaxGrantTTL), Renew: grantRenewInterval, Retry: grantRetryDelay, UnknownHold: r.longestGrantTTL(), FormerLead: l.succession.FormerEnd().Sub(l.startedAt),
 	}, record)
 	return l, nil
 }
--- a/internal/direct/elect_test.go
+++ b/internal/direct/elect_test.go
@@ -10,6 +10,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/http1"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/quorum"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -68,7 +69,9 @@
 			planDue:     now.Add(time.Minute),
 			publishDue:  now.Add(time.Minute),
 			coordinator: keyspace.NewCoordinator(now, 1, keyspace.Timing{}, keyspace.Record{}),
+			support:     quorum.NewSupport("a", quorum.Electorate{Voters: []fleet.InstanceID{"a", "b", "c"}}),
 		}
+		l.support.Acknowledged("b", bootClock())
 		if got := r.leadStep(t.Context(), l); got != c.want {
 			t.Errorf("%s: leads on %t, want %t", name, got, c.want)
 		}
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -14,6 +14,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/admission"
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/quorum"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -89,6 +90,9 @@
 	electing          bool
 	electionDue       time.Time
 	elections         chan electionResult
+	support           quorum.Support // of this leader
+	succession        quorum.Succession
+	announceDue       time.Time // next announcement to the instances that may support an earlier leader
 	coordinator       *keyspace.Coordinator
 	recordRev         fleet.Revision // revision of the stored ownership record
 	callResults       chan callResult
@@ -187,12 +191,13 @@
 	r.log.Info("leading", "term", l.term, "record-revision", l.recordRev)
 	r.mu.Lock()
 	r.leadership, r.totalDemand, r.directives = l, demandSum{}, nil
+	r.formerHeardAt = latest(r.formerHeardAt, r.leader.heardAt)
 	r.leader = leaderInfo{id: r.cfg.Instance, addr: r.cfg.PeerListen, term: l.term, heardAt: time.Now()}
 	r.mu.Unlock()
 	defer func() {
 		l.end()
 		r.mu.Lock()
-		r.leadership = nil
+		r.leadership, r.formerHeardAt = nil, time.Now()
 		r.mu.Unlock()
 		r.log.Info("leadership ended", "term", l.term)
 	}()
@@ -242,7 +247,7 @@
 	leaseValid := clock < l.validUntil
 	suspended := l.steppedAt > 0 && clock-l.steppedAt > maxStepGap
 	l.steppedAt = clock
-	if suspended && !leaseValid {
+	if suspended && !leaseValid || r.laterLeaderAnnounced() {
 		return false
 	}
 	if l.restoredAt > 0 {
@@ -252,10 +257,12 @@
 		}
 	} else {
 		r.renewIfDue(ctx, now, l, leaseValid)
-		if !leaseValid && !r.storeDownForAll(now, l) {
+		if !r.mayLead(clock, l) {
 			return false
 		}
 	}
+	l.coordinator.SetFormerEnd(l.succession.FormerEnd())
+	r.announce(ctx, now, l)
 	if !now.Before(l.planDue) {
 		l.planDue = now.Add(planInterval)
 		r.applyReport(now, l, r.collectReport(now))
@@ -283,24 +290,25 @@
 	return true
 }
 
-// storeDownForAll reports whether the store seems to be unavailable to all instances,
-// so that no other leader can have been elected: most instances report, and none of
-// them has reached the store since this instance last did. Instances that rely on the
-// leader call the store themselves once the leader's state is stale.
-func (r *Router) storeDownForAll(now time.Time, l *leadership) bool {
+// mayLead reports whether the instance may go on leading at clock, which is that of bootClock.
+func (r *Router) mayLead(clock time.Duration, l *leadership) bool {
+	return clock < l.validUntil || l.support.MayLead(clock, l.validUntil) && r.storeDownForAll(l)
+}
+
+// storeDownForAll reports whether the store seems to be unavailable to all instances: none
+// that has reported has reached the store since this instance last did. Instances that rely
+// on the leader call the store themselves once the leader's state is stale. What is reported
+// cannot show that no other leader has been elected; see package quorum.
+func (r *Router) storeDownForAll(l *leadership) bool {
 	r.mu.Lock()
 	ownAnswer := r.storeAnsweredAt
 	r.mu.Unlock()
-	reporting, timeout := 0, r.currentLongPollWait()+leaderSilenceMargin
 	for id, m := range l.members {
 		if id != r.cfg.Instance && m.heardAt.Add(-m.storeAge).After(ownAnswer.Add(leaseMargin)) {
 			return false
 		}
-		if now.Sub(m.heardAt) < timeout {
-			reporting++
-		}
 	}
-	return reporting*2 > len(l.members)
+	return true
 }
 
 // renewIfDue starts a renewal of the leader's lease if one is due.
@@ -346,6 +354,7 @@
 		return
 	}
 	l.saving = true
+	l.support.Storing(storedElectorate(record, l.term))
 	w := Write{Key: ownershipKey, Value: record.Encode(), Expect: l.recordRev}
 	term := l.term
 	go func() {
@@ -405,6 +414,7 @@
 		return false
 	}
 	l.recordRev = res.rev
+	l.support.Stored()
 	res.onStored()
 	return true
 }
@@ -556,8 +566,7 @@
 }
 
 // updateMembers removes instances that have stopped reporting, but not while the lease is
-// invalid: a leader that has lost the others must not become its own majority. It records
-// the current instances if their number has grown, or fallen below minRecordedShare of the
+// invalid, since no record without them can be stored. It records the current instances if their number has grown, or fallen below minRecordedShare of the
 // recorded number.
 func (r *Router) updateMembers(now time.Time, l *leadership, leaseValid bool) {
 	var current []fleet.Peer
--- a/internal/direct/message.go
+++ b/internal/direct/message.go
@@ -146,6 +146,9 @@
 	e.UInt64(r.OperatorSeq)
 	e.FieldStart("operator")
 	e.Str(r.OperatorTag)
+	r.Acknowledged.encode(&e)
+	e.FieldStart("former-age-ms")
+	e.Int64(max(0, r.FormerAge.Milliseconds()))
 	encodeRestorations(&e, r.Restorations)
 	encodeDemand(&e, r.Demand, r.DemandSeq)
 	e.FieldStart("speeds")
@@ -223,6 +226,14 @@
 			r.OperatorSeq, err = d.UInt64()
 		case "operator":
 			r.OperatorTag, err = d.Str()
+		case "acknowledged-term":
+			err = decodeNumber(d, &r.Acknowledged.Term)
+		case "acknowledged-era":
+			err = decodeEra(d, &r.Acknowledged.Term)
+		case "acknowledged-ms":
+			r.Acknowledged.SentAt, err = decodeMillis(d)
+		case "former-age-ms":
+			r.FormerAge, err = decodeMillis(d)
 		case "restorations":
 			r.Restorations, err = d.UInt64()
 		case "demand":
@@ -272,6 +283,8 @@
 	var e jx.Encoder
 	e.ObjStart()
 	encodeRevision(&e, "term", "era", r.Term)
+	e.FieldStart("sent-ms")
+	e.Int64(r.SentAt.Milliseconds())
 	if r.Held >= 0 {
 		e.FieldStart("held-ms")
 		e.Int64(r.Held.Milliseconds())
@@ -362,6 +375,8 @@
 			err = decodeNumber(d, &r.Term)
 		case "era":
 			err = decodeEra(d, &r.Term)
+		case "sent-ms":
+			r.SentAt, err = decodeMillis(d)
 		case "held-ms":
 			r.Held, err = decodeMillis(d)
 		case "restorations":
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -79,8 +79,26 @@
 	if res.Status != http.StatusOK {
 		return leaderInfo{}, errors.Errorf("unexpected status %d", res.Status)
 	}
+	return decodeLeaderInfo(res.Body)
+}
+
+// encode encodes who leads, for other instances.
+func (l leaderInfo) encode() []byte {
+	var e jx.Encoder
+	e.ObjStart()
+	e.FieldStart("id")
+	e.Str(string(l.id))
+	e.FieldStart("addr")
+	e.Str(l.addr)
+	encodeRevision(&e, "term", "era", l.term)
+	e.ObjEnd()
+	return e.Bytes()
+}
+
+// decodeLeaderInfo parses the output of leaderInfo.encode.
+func decodeLeaderInfo(data []byte) (leaderInfo, error) {
 	info := leaderInfo{heardAt: time.Now()}
-	err = jx.DecodeBytes(res.Body).Obj(func(d *jx.Decoder, field string) (err error) {
+	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, field string) (err error) {
 		switch field {
 		case "id":
 			var s string
@@ -110,15 +128,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	var e jx.Encoder
-	e.ObjStart()
-	e.FieldStart("id")
-	e.Str(string(info.id))
-	e.FieldStart("addr")
-	e.Str(info.addr)
-	encodeRevision(&e, "term", "era", info.term)
-	e.ObjEnd()
-	if _, err := w.Write(e.Bytes()); err != nil {
+	if _, err := w.Write(info.encode()); err != nil {
 		r.log.Debug("sending the leader to another instance failed", "error", err)
 	}
 }
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -80,15 +80,17 @@
 	DemandSeq     uint64                               // number of the sender's report with this Demand
 	ServiceTimes  map[fleet.UpstreamID]balance.Samples // without their curves
 	Curves        map[fleet.UpstreamID]balance.LoadCurve
-	InFlightSeq   uint64         // last version of this leader's limits in flight that the sender has
-	StoreAge      time.Duration  // time since the sender's last successful store call
-	InstancesHash uint64         // fingerprint of the instances that the sender knows
-	ListTerm      fleet.Revision // term of the leader that sent the sender's list of upstreams
-	ListSeq       uint64         // version of this list
-	OperatorSeq   uint64         // last version of the operator state received from this leader
-	OperatorTag   string         // tag of the sender's operator state
-	Restorations  uint64         // number in the last reply of this leader
-	LimitSeq      uint64         // last version of this leader's limits of upstreams that the sender has
+	InFlightSeq   uint64          // last version of this leader's limits in flight that the sender has
+	StoreAge      time.Duration   // time since the sender's last successful store call
+	InstancesHash uint64          // fingerprint of the instances that the sender knows
+	ListTerm      fleet.Revision  // term of the leader that sent the sender's list of upstreams
+	ListSeq       uint64          // version of this list
+	OperatorSeq   uint64          // last version of the operator state received from this leader
+	OperatorTag   string          // tag of the sender's operator state
+	Restorations  uint64          // number in the last reply of this leader
+	Acknowledged  acknowledgement // of the last reply of this leader
+	FormerAge     time.Duration   // at least the time since the last reply of an earlier leader, or the sender's start
+	LimitSeq      uint64          // last version of this leader's limits of upstreams that the sender has
 	// Leaving and Limits are from answers of upstreams to the sender: the upstreams that
 	// leave, and the limits. The leader answers a report with either at once.
 	Leaving []balance.Run
@@ -109,6 +111,9 @@
 // reply is the leader's answer to a report.
 type reply struct {
 	Term fleet.Revision
+	// SentAt is the time of the reply on the clock of the leader. An instance repeats it in its
+	// reports.
+	SentAt time.Duration
 	// Held is the time between the arrival of the report and the reply, negative if it is
 	// not stated.
 	Held time.Duration
@@ -164,7 +169,7 @@
 	rep := report{
 		Instance: r.cfg.Instance, Addr: r.cfg.PeerListen, StoreAge: r.storeAge(now), InstancesHash: fingerprint(r.instances),
 		ListTerm: r.listReplica.term, ListSeq: r.listReplica.seq, OperatorSeq: r.operatorSeqReceived, OperatorTag: r.operatorState.Load().Tag(),
-		Restorations: r.leaderRestorations, LimitSeq: r.limitSeqReceived, InFlightSeq: r.inFlightSeqReceived,
+		Restorations: r.leaderRestorations, Acknowledged: r.acknowledged, FormerAge: now.Sub(r.formerHeardAt), LimitSeq: r.limitSeqReceived, InFlightSeq: r.inFlightSeqReceived,
 	}
 	if m := r.holderMap.Load(); m != nil {
 		rep.MapVersion = m.Version
@@ -245,6 +250,9 @@
 		r.mu.Lock()
 		info := r.leader
 		r.mu.Unlock()
+		if r.laterLeaderAnnounced() {
+			return
+		}
 		if time.Since(info.heardAt) > r.currentLongPollWait()+leaderSilenceMargin {
 			r.log.Warn("leader stopped answering", "leader", info.id, "term", info.term)
 			return
@@ -330,7 +338,7 @@
 	listedAt := repliedAt.Add(-rp.List.Age)
 	r.setInstances(rp.Members)
 	r.mu.Lock()
-	r.leader.heardAt = now
+	r.leader.heardAt, r.acknowledged = now, acknowledgement{rp.Term, rp.SentAt}
 	r.learnAdmission(now, repliedAt, rp.Admission)
 	r.learnDemand(now, rp.Demand, rp.DemandSeq)
 	changed := rp.List.Seq != rep.ListSeq || rp.Term != rep.ListTerm || !r.listDue.IsZero() && !now.Before(r.listDue)
@@ -403,6 +411,10 @@
 	body, err := io.ReadAll(req.Body)
 	switch req.URL.Path {
 	case leaderPath:
+		if req.Method == http.MethodPost {
+			r.serveAnnouncement(w, body)
+			return
+		}
 		r.serveLeader(w)
 		return
 	case tokensPath:
@@ -482,6 +494,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rp.Term, rp.OperatorSeq, rp.Restorations = l.term, r.operatorSeq, l.restorations
+	rp.SentAt = bootClock()
 	// The receiver takes the map for one of this term.
 	if m := r.holderMap.Load(); m != nil && m.Version.Term == l.term && rep.MapVersion.Less(m.Version) {
 		rp.MapVersion = m.Version
@@ -525,6 +538,7 @@
 		m.demand, m.demandSeq = former.demand, former.demandSeq
 	}
 	l.members[rep.Instance] = m
+	r.noteSupport(now, l, rep)
 	if reported {
 		l.countKeys(rep)
 	}
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -12,6 +12,7 @@
 	"github.com/parsleyproxy/parsleyproxy/internal/admission"
 	"github.com/parsleyproxy/parsleyproxy/internal/balance"
 	"github.com/parsleyproxy/parsleyproxy/internal/keyspace"
+	"github.com/parsleyproxy/parsleyproxy/internal/quorum"
 	"github.com/parsleyproxy/parsleyproxy/internal/routes"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
@@ -106,9 +107,10 @@
 func TestStoreDownForAll(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	r := &Router{cfg: Settings{Instance: "leader"}, storeAnsweredAt: now.Add(-2 * time.Second)}
+	clock := bootClock()
 	tests := map[string]struct {
 		ages  []time.Duration // since the other instances last reached the store
-		heard time.Duration   // since their last reports
+		acked time.Duration   // since the replies that they have acknowledged
 		want  bool
 	}{
 		"no instance reaches the store":          {[]time.Duration{3 * time.Second, 2500 * time.Millisecond}, 0, true},
@@ -118,11 +120,14 @@
 		"all reached the store at the same time": {[]time.Duration{2 * time.Second, 2 * time.Second}, 0, true},
 	}
 	for name, test := range tests {
-		l := &leadership{members: map[fleet.InstanceID]member{"leader": {heardAt: now}}}
+		l := &leadership{term: 4, validUntil: clock, members: map[fleet.InstanceID]member{"leader": {heardAt: now}}}
+		l.support = quorum.NewSupport("leader", quorum.Electorate{Voters: []fleet.InstanceID{"leader", "a", "b"}})
 		for i, age := range test.ages {
-			l.members[fleet.InstanceID(rune('a'+i))] = member{heardAt: now.Add(-test.heard), storeAge: age}
+			id := fleet.InstanceID(rune('a' + i))
+			l.members[id] = member{heardAt: now, storeAge: age}
+			r.noteSupport(now, l, report{Instance: id, Acknowledged: acknowledgement{Term: 4, SentAt: clock - test.acked}})
 		}
-		if diff := cmp.Diff(test.want, r.storeDownForAll(now, l)); diff != "" {
+		if diff := cmp.Diff(test.want, r.mayLead(clock, l)); diff != "" {
 			t.Errorf("%s: %s", name, diff)
 		}
 	}
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -107,6 +107,9 @@
 
 	// Data for reports to the leader, and from its replies.
 	leader        leaderInfo
+	announced     leaderInfo // the last leader that has announced its election
+	formerHeardAt time.Time  // last reply of a leader before the present one, end of the own leadership, or start
+	acknowledged  acknowledgement
 	requestedKeys map[fleet.ServiceID][]keyspace.Key // by callers since the last report
 	demandReports demandReports
 	// demandReportedAt is the time of the last report with demand.
@@ -143,6 +146,7 @@
 	now := time.Now()
 	r := &Router{
 		cfg: cfg, lastSettings: cfg, platform: platform, log: log, metrics: m,
+		formerHeardAt:        now,
 		boot:                 fleet.BootID(strconv.FormatInt(now.UnixMilli(), 36)),
 		peers:                http1.NewTransport(http1.TransportConfig{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxBody: maxPeerBody, MaxIdlePerAddr: 2, CloseIdleOnError: true}),
 		operatorReadRequests: make(chan struct{}, 1), configured: make(chan struct{}),
--- a/internal/keyspace/calls.go
+++ b/internal/keyspace/calls.go
@@ -36,6 +36,7 @@
 // Calls returns the calls that are due. The caller must report the result of each
 // with CallEnded.
 func (co *Coordinator) Calls(now time.Time) []Call {
+	co.inherit(now)
 	var calls []Call
 	for _, s := range co.services {
 		for _, sh := range s.shards {
@@ -158,7 +159,7 @@
 // holderEnded records that the holder of sh has ended and holds nothing. Plan assigns the
 // keys to another upstream.
 func (co *Coordinator) holderEnded(now time.Time, sh *shard) {
-	sh.latestHoldEnd, sh.unconfirmedHoldEnd = time.Time{}, time.Time{}
+	sh.latestHoldEnd, sh.unconfirmedHoldEnd, sh.inherited = time.Time{}, time.Time{}, false
 	sh.failures, sh.nextCall = maxGrantFailures, now.Add(co.timing.Retry)
 	if sh.next != nil {
 		sh.nextCall = now
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -13,6 +13,10 @@
 //   - if a grant to the holder may still be in flight, from this leader or an
 //     earlier one, the holder is given a higher fencing token before the release, so
 //     that it refuses the late grant
+//   - until no earlier leader goes on, a holder's grants are renewed only as they were recorded.
+//     Keys move to another upstream, or to another life of the holder, only once the grants
+//     of all earlier leaders have expired as well: a holder that starts again remembers no
+//     fencing token, and would take the keys from an earlier leader
 //   - a record that was written before the store was restored from a copy says nothing
 //     about holders: a leader without better knowledge grants no key until all grants
 //     have expired, and its fencing tokens are higher than all of earlier eras
@@ -152,6 +156,9 @@
 	// UnknownHold is the longest validity of grants that a record of an earlier era may
 	// lack.
 	UnknownHold time.Duration
+	// FormerLead is the longest time after the election for which earlier leaders may go on,
+	// unless SetFormerEnd states a shorter one.
+	FormerLead time.Duration
 }
 
 // clockDriftFactor is the factor by which a grant may last longer than its hold time
@@ -175,10 +182,14 @@
 	maxGrantFailures = 3
 )
 
-// staleLeaderTime is how long a deposed leader may continue to renew grants after the
-// election of another: until it learns that other instances reach the store.
+// staleLeaderTime is how long after the end of an earlier leader, or the election of this one
+// if that is later, calls that the earlier leader has decided on may still be sent.
 const staleLeaderTime = 1500 * time.Millisecond
 
+// openRecordDelay is the time after an election from which on a record states that earlier
+// leaders may go on. Usually their end is known before, so that no record has to be stored.
+const openRecordDelay = 1500 * time.Millisecond
+
 // restoredLeaderTime is the additional time for which a leader may continue if the store
 // is restored from a copy that does not contain its election: its lease was still valid,
 // or it tries to be elected again.
@@ -237,6 +248,7 @@
 	failures           int       // consecutive failed grants
 	refused            bool      // the holder has seen a higher fencing token than fence
 	everGranted        bool      // the holder has confirmed a grant
+	inherited          bool      // the grants of earlier leaders are not yet part of latestHoldEnd, unconfirmedHoldEnd and blockedUntil
 	surging, rising    bool      // its load has risen suddenly, or may have
 	movedAt            time.Time // when the last move was planned, or ended; zero if there was none
 	blockedUntil       time.Time // no grant before then, since an earlier holder may hold the keys; set if the leader changed during a move
@@ -265,9 +277,10 @@
 	hotKeys    []KeyShare
 	surgeSince time.Time // when some load began to rise suddenly; zero if none does
 
-	hold         time.Duration // validity that grants are to request
-	recordedHold time.Duration // longest validity that the stored record states
-	savedHold    time.Duration // longest validity in the last record that Save returned
+	hold          time.Duration // validity that grants are to request
+	recordedHold  time.Duration // longest validity that the stored record states
+	inheritedHold time.Duration // longest validity of the grants of earlier leaders
+	savedHold     time.Duration // longest validity in the last record that Save returned
 }
 
 // Coordinator is the leader's assignment of all shards to upstreams.
@@ -275,10 +288,16 @@
 	timing          Timing
 	term            fleet.Revision
 	instances       []fleet.Peer // of the fleet
-	oldCallsEnd     time.Time    // no call of an earlier leader is in flight after this time
-	unknownHoldsEnd time.Time    // no upstream holds keys by a grant of an earlier leader after this time; zero if the record lists these grants
-	formerEra       fleet.Era    // of the record of the earlier leader
-	savedEra        fleet.Era    // of the last record that Save returned
+	electedAt       time.Time
+	formerEnd       time.Time     // no earlier leader goes on after this time
+	inheriting      bool          // formerEnd has not passed
+	savedFormerLead bool          // FormerLead of the last record that Save returned
+	oldCallsEnd     time.Time     // no call of an earlier leader is in flight after this time
+	unknownHoldsEnd time.Time     // no upstream holds keys by a grant of an earlier leader after this time; zero if the record lists these grants
+	longestHold     time.Duration // longest validity in the record of the earlier leader
+	formerEra       fleet.Era     // of the record of the earlier leader
+	outdatedRecord  bool          // that record is from an earlier era than the election
+	savedEra        fleet.Era     // of the last record that Save returned
 	mapSeq          uint64
 	nextFence       fleet.Fence
 	services        map[fleet.ServiceID]*service
@@ -297,27 +316,25 @@
 	for _, hold := range rec.Holds {
 		longest = max(longest, hold)
 	}
-	co.oldCallsEnd = latestExpiry(now.Add(staleLeaderTime), longest)
-	co.formerEra, co.savedEra = rec.Era, rec.Era
-	if rec.Era != term.Era() {
-		co.oldCallsEnd = latestExpiry(now.Add(staleLeaderTime+restoredLeaderTime), max(longest, t.UnknownHold))
-		co.unknownHoldsEnd = co.oldCallsEnd
-		co.recordDirty = true
-	}
+	co.electedAt, co.formerEnd, co.inheriting, co.longestHold = now, now.Add(t.FormerLead), true, longest
+	co.formerEra, co.savedEra, co.savedFormerLead = rec.Era, rec.Era, rec.FormerLead
+	co.outdatedRecord = rec.Era != term.Era()
+	co.recordDirty = co.outdatedRecord
+	co.setFormerCallsEnd()
 	for id, shards := range rec.Services {
 		s := co.newService(id)
 		s.firstSeen, s.recordedHold = now, max(t.Hold, rec.Holds[id])
-		s.savedHold = s.recordedHold
-		latest := latestExpiry(now.Add(staleLeaderTime), s.recordedHold)
+		s.savedHold, s.inheritedHold = s.recordedHold, s.recordedHold
+		latest := co.formerHoldsEnd(s.inheritedHold)
 		for _, r := range shards {
-			if rec.Era != term.Era() {
+			if co.outdatedRecord {
 				s.shards = append(s.shards, &shard{
 					Span: r.Span, holder: r.Holder, boot: r.Boot, fence: co.allocateFence(), state: stateGranting,
-					nextCall: co.unknownHoldsEnd, blockedUntil: co.unknownHoldsEnd,
+					nextCall: co.unknownHoldsEnd, blockedUntil: co.unknownHoldsEnd, inherited: true,
 				})
 				continue
 			}
-			sh := &shard{Span: r.Span, holder: r.Holder, boot: r.Boot, fence: r.Fence, recorded: true, state: stateHeld, nextCall: now, latestHoldEnd: latest, unconfirmedHoldEnd: latest, everGranted: true}
+			sh := &shard{Span: r.Span, holder: r.Holder, boot: r.Boot, fence: r.Fence, recorded: true, state: stateHeld, nextCall: now, everGranted: true, inherited: true}
 			if r.Moving {
 				// The holder before r.Holder may still hold the keys.
 				sh.state, sh.nextCall, sh.blockedUntil, sh.everGranted = stateWaiting, latest, latest, false
@@ -326,9 +343,61 @@
 		}
 		co.services[id] = s
 	}
+	co.inherit(now)
 	return co
 }
 
+// SetFormerEnd states a time after which no earlier leader goes on. It has no effect if an
+// earlier time is known.
+func (co *Coordinator) SetFormerEnd(end time.Time) {
+	if co.inheriting && end.Before(co.formerEnd) {
+		co.formerEnd = end
+		co.setFormerCallsEnd()
+	}
+}
+
+// formerHoldsEnd returns the latest expiry of a grant with the given validity from an earlier
+// leader.
+func (co *Coordinator) formerHoldsEnd(hold time.Duration) time.Time {
+	return latestExpiry(laterTime(co.formerEnd, co.electedAt).Add(staleLeaderTime), hold)
+}
+
+// setFormerCallsEnd sets what follows from formerEnd.
+func (co *Coordinator) setFormerCallsEnd() {
+	co.oldCallsEnd = co.formerHoldsEnd(co.longestHold)
+	if co.outdatedRecord {
+		co.oldCallsEnd = co.formerHoldsEnd(max(co.longestHold, co.timing.UnknownHold)).Add(restoredLeaderTime)
+		co.unknownHoldsEnd = co.oldCallsEnd
+	}
+}
+
+// inherit takes the grants of earlier leaders into account once it is known when the last of
+// them has expired. Before, no key moves.
+func (co *Coordinator) inherit(now time.Time) {
+	if !co.inheriting || now.Before(co.formerEnd) {
+		return
+	}
+	co.inheriting = false
+	for _, s := range co.services {
+		for _, sh := range s.shards {
+			if !sh.inherited {
+				continue
+			}
+			sh.inherited = false
+			end := co.formerHoldsEnd(s.inheritedHold)
+			switch {
+			case sh.blockedUntil.IsZero():
+				sh.latestHoldEnd, sh.unconfirmedHoldEnd = laterTime(sh.latestHoldEnd, end), laterTime(sh.unconfirmedHoldEnd, end)
+			case co.outdatedRecord:
+				sh.blockedUntil, sh.nextCall = co.unknownHoldsEnd, co.unknownHoldsEnd
+			default:
+				sh.blockedUntil, sh.nextCall = end, end
+				sh.latestHoldEnd, sh.unconfirmedHoldEnd = end, end
+			}
+		}
+	}
+}
+
 // Reelected continues the state of a leader that was elected again after the store was
 // restored from a copy. What it knows is newer than any record in that store.
 func (co *Coordinator) Reelected(term fleet.Revision) {
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -49,6 +49,7 @@
 
 // Plan updates the load estimates and decides which shards move to which upstreams.
 func (co *Coordinator) Plan(now time.Time) {
+	co.inherit(now)
 	for _, s := range co.services {
 		if !s.lastDecay.IsZero() {
 			s.keyLoad.Decay(now.Sub(s.lastDecay))
@@ -59,6 +60,9 @@
 			co.assignInitial(now, s)
 			continue
 		}
+		if co.inheriting {
+			continue
+		}
 		load := s.load()
 		co.replaceHolders(now, s, load)
 		if balanceByLoad {
@@ -127,7 +131,7 @@
 		}
 		sh := &shard{Span: Span{Key(from), Key(to - 1)}, holder: u.ID, boot: u.Boot, fence: co.allocateFence(), state: stateGranting, nextCall: now}
 		if now.Before(co.unknownHoldsEnd) {
-			sh.blockedUntil = co.unknownHoldsEnd
+			sh.blockedUntil, sh.inherited = co.unknownHoldsEnd, co.inheriting
 		}
 		s.shards = append(s.shards, sh)
 		from = to
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -19,8 +19,10 @@
 	// may lack the last grants and fencing tokens.
 	Era       fleet.Era
 	Instances []fleet.Peer // of the fleet; empty if unknown
-	NextFence fleet.Fence
-	Services  map[fleet.ServiceID][]RecordShard
+	// FormerLead states that leaders before the one that wrote the record may go on.
+	FormerLead bool
+	NextFence  fleet.Fence
+	Services   map[fleet.ServiceID][]RecordShard
 	// Holds is the longest validity of the grants of each service.
 	Holds map[fleet.ServiceID]time.Duration
 }
@@ -62,12 +64,13 @@
 // there is a record to store.
 func (co *Coordinator) Save(now time.Time) (Record, func(), bool) {
 	era := co.recordEra(now)
-	if era == co.savedEra && !co.recordDirty && (co.overstatedSince.IsZero() || now.Sub(co.overstatedSince) < maxOverstatedTime) {
+	formerLeadChanged := co.savedFormerLead != co.inheriting && (!co.inheriting || now.Sub(co.electedAt) >= openRecordDelay)
+	if era == co.savedEra && !co.recordDirty && !formerLeadChanged && (co.overstatedSince.IsZero() || now.Sub(co.overstatedSince) < maxOverstatedTime) {
 		return Record{}, nil, false
 	}
 	co.recordDirty, co.overstatedSince = false, time.Time{}
-	co.savedEra = era
-	rec := Record{Era: era, Instances: co.instances, NextFence: co.nextFence, Services: make(map[fleet.ServiceID][]RecordShard), Holds: make(map[fleet.ServiceID]time.Duration)}
+	co.savedEra, co.savedFormerLead = era, co.inheriting
+	rec := Record{Era: era, Instances: co.instances, FormerLead: co.inheriting, NextFence: co.nextFence, Services: make(map[fleet.ServiceID][]RecordShard), Holds: make(map[fleet.ServiceID]time.Duration)}
 	type savedShard struct {
 		p     *shard
 		next  *transfer
@@ -131,6 +134,10 @@
 		e.FieldStart("era")
 		e.UInt64(uint64(r.Era))
 	}
+	if r.FormerLead {
+		e.FieldStart("former-lead")
+		e.Bool(true)
+	}
 	e.FieldStart("next-fence")
 	e.UInt64(uint64(r.NextFence))
 	e.FieldStart("holds-ms")
@@ -189,6 +196,10 @@
 			n, err := d.UInt64()
 			r.Era = fleet.Era(n)
 			return err
+		case "former-lead":
+			former, err := d.Bool()
+			r.FormerLead = former
+			return err
 		case "next-fence":
 			n, err := d.UInt64()
 			r.NextFence = fleet.Fence(n)
