direct, platform: a success without the upstream's receipt is no answer

Cause: the id was checked only to tell late and repeated answers apart, and a response without one was accepted as the first of its connection, whatever its status. The receipt was passed on unread, so that a 200 with the id and without a receipt was an answer on every connection.

Change: direct.checkResponse refuses a success (2xx) without the id of the request or without a receipt. The connection is closed at once and the request counts as one that may have run: one that may run once is not repeated, and its caller gets 502. The function that http1.Transport.Do calls for each response returns an error: ErrOtherRequest skips the response, any other one ends the request. Refusals and failures are as before.

The answers of stand-ins in three tests, and those of tests that replace a stand-in's handler, had no receipt, which sound upstreams send: they have one now, and ask for the same results as before.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -223,6 +223,7 @@
 // and body.
 type ResponseMetadata struct {
 	ID        fleet.RequestID
+	Receipt   bool          // the upstream confirms that the response is its own, as it does with each success
 	NotRun    bool          // the upstream states that it did not run the request
 	NotHolder bool          // the upstream is not the addressed one, or does not hold the key
 	Leaving   bool          // the upstream says that it leaves
--- a/internal/direct/forward.go
+++ b/internal/direct/forward.go
@@ -81,10 +81,10 @@
 		Header: r.platform.Protocol.UpstreamHeader(x.header, ForwardMetadata{Upstream: run.ID, Timeout: x.deadline.Sub(sentAt), Account: x.account.ID}),
 	}
 	var refusal *http1.Response
-	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) bool {
+	a.response, a.err = r.platform.UpstreamTransport.Do(ctx, run.Addr, req, func(res *http1.Response) error {
 		metadata := r.platform.Protocol.ParseResponse(res.Status, res.Header)
-		if !mayAnswer(metadata.ID, x.info.ID, res.FirstOnConn) {
-			return false
+		if err := checkResponse(res, metadata, x.info.ID); err != nil {
+			return err
 		}
 		if metadata.NotRun {
 			refusal = res
@@ -94,7 +94,7 @@
 		}
 		r.notePause(time.Now(), upstream, metadata.Pause, x.info.ID, "answer")
 		r.noteLimit(time.Now(), sentAt, upstream, metadata.Limit, !metadata.NotRun, x.info.ID, "answer")
-		return true
+		return nil
 	})
 	r.metrics.countBodyWrite(a.response, a.err)
 	if a.err != nil && refusal != nil {
@@ -250,12 +250,22 @@
 	}
 }
 
-// mayAnswer reports whether a response with an id may answer the request with the id
-// requestID. Upstreams echo the id of a request. A response without one is accepted on a
-// new connection; on a kept one it may belong to an earlier request, which an upstream
-// has answered twice, and the answer to this request follows.
-func mayAnswer(id, requestID fleet.RequestID, firstOnConn bool) bool {
-	return id == requestID || id == "" && firstOnConn
+// errNotConfirmed means that a response is a success that the upstream does not confirm, by the id
+// of the request and its receipt. The request may have run.
+var errNotConfirmed = errors.New("the success is not confirmed by the id of the request and a receipt")
+
+// checkResponse returns an error if a response cannot be the answer to the request with the id
+// requestID. Upstreams echo the id of a request. A response without one is accepted on a new
+// connection, if it is no success; on a kept one it may belong to an earlier request, which an
+// upstream has answered twice, and the answer to this request follows.
+func checkResponse(res *http1.Response, m ResponseMetadata, requestID fleet.RequestID) error {
+	switch success := res.Status < http.StatusMultipleChoices; {
+	case m.ID != requestID && (m.ID != "" || !res.FirstOnConn):
+		return http1.ErrOtherRequest
+	case success && (m.ID == "" || !m.Receipt):
+		return errNotConfirmed
+	}
+	return nil
 }
 
 // minConnectTime is the time that an upstream has to accept a connection before it counts
--- a/internal/http1/requestwrite.go
+++ b/internal/http1/requestwrite.go
@@ -270,13 +270,15 @@
 }
 
 // accepting returns accept, which notes the response that it accepts too.
-func (w *bodyWriter) accepting(accept func(*Response) bool) func(*Response) bool {
-	return func(res *Response) bool {
-		if accept != nil && !accept(res) {
-			return false
+func (w *bodyWriter) accepting(accept func(*Response) error) func(*Response) error {
+	return func(res *Response) error {
+		if accept != nil {
+			if err := accept(res); err != nil {
+				return err
+			}
 		}
 		res.Early = w.noteResponse()
-		return true
+		return nil
 	}
 }
 
--- a/internal/http1/streamend_linux_test.go
+++ b/internal/http1/streamend_linux_test.go
@@ -205,10 +205,10 @@
 	tr := NewTransport(writeConfig())
 	for _, size := range []int{1 << 10, 64 << 10, 8 << 20} {
 		for range tries {
-			res, err := tr.Do(t.Context(), addr, post(size), func(*Response) bool {
+			res, err := tr.Do(t.Context(), addr, post(size), func(*Response) error {
 				<-closed
 				<-time.After(5 * time.Millisecond) // until the reset has arrived
-				return true
+				return nil
 			})
 			if err != nil {
 				t.Errorf("%d bytes: %v", size, err)
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -100,6 +100,10 @@
 	ErrSkippedTooLarge  = errors.Errorf("responses to other requests exceed %d bytes", maxSkippedSize)
 )
 
+// ErrOtherRequest is what the accept function of Transport.Do returns for a response to another
+// request.
+var ErrOtherRequest = errors.New("the response belongs to another request")
+
 // NewTransport returns a transport without open connections.
 func NewTransport(cfg TransportConfig) *Transport {
 	return &Transport{
@@ -264,16 +268,17 @@
 	}
 }
 
-// Do sends req to addr and returns the first complete response that accept returns
-// true for; a nil accept accepts every response. accept is called before the body is
-// read. The error is a *NotSentError or a *LostError. If ctx ends first, the connection
+// Do sends req to addr and returns the first complete response that accept returns no error
+// for; a nil accept accepts every response. accept is called before the body is read. If it
+// returns ErrOtherRequest, the response is skipped, and on any other error the connection is
+// closed, since nothing that follows can be the response. The error is a *NotSentError or a *LostError. If ctx ends first, the connection
 // is closed; a streamed body counts as part of the response in this.
 //
 // A response may arrive before a body of more than 16 KiB has been written, or writing may
 // fail because the peer has responded and closed the connection. The response is returned
 // nevertheless. The connection is then used again only if the rest of the body has been
 // written. The memory of the body is not used after Do, or after the end of a stream.
-func (t *Transport) Do(ctx context.Context, addr string, req *Request, accept func(*Response) bool) (*Response, error) {
+func (t *Transport) Do(ctx context.Context, addr string, req *Request, accept func(*Response) error) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &NotSentError{Addr: addr, Err: err}
 	}
@@ -305,7 +310,7 @@
 }
 
 // roundTrip sends req on pc and returns the response. It keeps or closes pc.
-func (t *Transport) roundTrip(ctx context.Context, addr string, pc *persistentConn, req *Request, share *bodyShare, accept func(*Response) bool) (*Response, error) {
+func (t *Transport) roundTrip(ctx context.Context, addr string, pc *persistentConn, req *Request, share *bodyShare, accept func(*Response) error) (*Response, error) {
 	w := newBodyWriter(pc, req, share, t.cfg.WriteStallTimeout)
 	stop := cancelWith(ctx, pc.conn, w)
 	n, err := writeStart(pc.conn, addr, req, req.bodySize())
@@ -521,10 +526,10 @@
 	return res, nil
 }
 
-// readResponse returns the first response that accept returns true for, and whether
-// the connection can be reused. The body of the response counts in cfg.Bodies. w writes
+// readResponse returns the first response for which accept returns no error, and whether
+// the connection can be reused. It skips those for which accept returns ErrOtherRequest. The body of the response counts in cfg.Bodies. w writes
 // the request, and is nil if that has been written.
-func (pc *persistentConn) readResponse(req *Request, cfg TransportConfig, w *bodyWriter, accept func(*Response) bool) (*Response, bool, error) {
+func (pc *persistentConn) readResponse(req *Request, cfg TransportConfig, w *bodyWriter, accept func(*Response) error) (*Response, bool, error) {
 	interim, skipped, skippedSize := 0, 0, int64(0)
 	for interim <= maxInterim && skipped <= maxSkipped {
 		res, err := pc.readHead(req.Method)
@@ -537,7 +542,13 @@
 		}
 		response := &Response{Status: res.StatusCode, Header: res.Header, FirstOnConn: !pc.answered}
 		pc.answered = true
-		if accept != nil && !accept(response) {
+		if accept != nil {
+			err = accept(response)
+		}
+		if err != nil && !errors.Is(err, ErrOtherRequest) {
+			return nil, false, err
+		}
+		if err != nil {
 			if res.Close {
 				return nil, false, errors.New("connection closed after a response to another request")
 			}
--- a/internal/http1/transport_bounds_test.go
+++ b/internal/http1/transport_bounds_test.go
@@ -110,7 +110,7 @@
 			defer cancel()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			_, err := tr.Do(ctx, addr, &Request{Method: http.MethodGet, Target: "/"}, func(res *Response) bool { return res.Header.Get("Skip") == "" })
+			_, err := tr.Do(ctx, addr, &Request{Method: http.MethodGet, Target: "/"}, skipMarked)
 			runtime.ReadMemStats(&after)
 			var lost *LostError
 			if !errors.As(err, &lost) || c.want != nil && !errors.Is(err, c.want) || ctx.Err() != nil {
@@ -130,6 +130,14 @@
 	}
 }
 
+// skipMarked is an accept function that skips the responses with a header Skip.
+func skipMarked(res *Response) error {
+	if res.Header.Get("Skip") != "" {
+		return ErrOtherRequest
+	}
+	return nil
+}
+
 // Guards against bounds that refuse proper responses.
 func TestResponsesWithinBounds(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
@@ -140,7 +148,7 @@
 	} {
 		addr, _, _ := peer.start(t)
 		tr := NewTransport(TransportConfig{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxBody: 1 << 20, MaxIdlePerAddr: 4})
-		res, err := tr.Do(t.Context(), addr, &Request{Method: http.MethodGet, Target: "/"}, func(res *Response) bool { return res.Header.Get("Skip") == "" })
+		res, err := tr.Do(t.Context(), addr, &Request{Method: http.MethodGet, Target: "/"}, skipMarked)
 		if err != nil || string(res.Body) != "good" {
 			t.Errorf("%s: Do = %v, %v, want the body \"good\"", name, res, err)
 		}
--- a/internal/standin/front/upstream.go
+++ b/internal/standin/front/upstream.go
@@ -22,7 +22,8 @@
 	Addr              string        // "IP:port"; empty means a free port of 127.0.0.1
 	// OnStart is called for every request when its execution starts.
 	OnStart func(u *Upstream, r *http.Request)
-	// Handler, if not nil, handles requests in place of the default handler.
+	// Handler, if not nil, handles requests in place of the default handler. The request's id
+	// and the receipt are set in the headers of the answer.
 	Handler func(w http.ResponseWriter, r *http.Request)
 	Grants  *GrantLog // records accepted grants; nil: none are recorded
 }
@@ -186,6 +187,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.Header().Set("Server-Seal", "seal-"+u.cfg.ID)
 	if answer != nil {
 		answer(w, r)
 		return
@@ -200,6 +202,7 @@
 	}
 	defer func() { <-slots }()
 	if u.cfg.Sharded && !u.Holds(key) { // the grant expired while the request was queued
+		w.Header().Del("Server-Seal")
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -217,7 +220,6 @@
 	u.mu.Lock()
 	load := fmt.Sprintf("%d,%d,%d,100", u.running, u.waiting, u.cfg.Slots)
 	u.mu.Unlock()
-	w.Header().Set("Server-Seal", "seal-"+u.cfg.ID)
 	w.Header().Set("Server-Load", load)
 	_, _ = io.WriteString(w, "by "+u.cfg.ID) // fails if the router has closed the connection
 }
