direct: a leader that was elected again has no support before it has stored its record

A restored store does not contain the record whose voters the leader counted; its successor reads an older one. The leader ends with its lease until its own record is stored.

--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -566,8 +566,8 @@
 }
 
 // updateMembers removes instances that have stopped reporting, but not while the lease is
-// invalid, since no record without them can be stored. It records the current instances if their number has grown, or fallen below minRecordedShare of the
-// recorded number.
+// invalid, since no record without them can be stored. It records the current instances if
+// their number has grown, or fallen below minRecordedShare of the recorded number.
 func (r *Router) updateMembers(now time.Time, l *leadership, leaseValid bool) {
 	var current []fleet.Peer
 	for id, m := range l.members {
--- a/internal/direct/restored.go
+++ b/internal/direct/restored.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/parsleyproxy/parsleyproxy/internal/quorum"
 	"github.com/parsleyproxy/parsleyproxy/pkg/fleet"
 )
 
@@ -100,6 +101,7 @@
 	r.leader.term, r.leader.heardAt = l.term, now
 	r.mu.Unlock()
 	l.recordRev, l.restoredAt, l.renewDue = res.recordRev, 0, now
+	l.support = quorum.NewSupport(r.cfg.Instance, quorum.Electorate{}) // its record is not in the restored store
 	l.coordinator.Reelected(l.term)
 	r.log.Info("leading", "term", l.term, "record-revision", l.recordRev)
 	return true
