--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -89,7 +89,7 @@
 	OperatorTag   string          // tag of the sender's operator state
 	Restorations  uint64          // number in the last reply of this leader
 	Acknowledged  acknowledgement // of the last reply of this leader
-	FormerAge     time.Duration   // at least the time since the last reply of an earlier leader, or the sender's start
+	FormerAge     time.Duration   // time since the last reply of an earlier leader, or the sender's start if that is later
 	LimitSeq      uint64          // last version of this leader's limits of upstreams that the sender has
 	// Leaving and Limits are from answers of upstreams to the sender: the upstreams that
 	// leave, and the limits. The leader answers a report with either at once.
--- a/internal/direct/succession.go
+++ b/internal/direct/succession.go
@@ -66,7 +66,7 @@
 func (r *Router) noteSupport(now time.Time, l *leadership, rep report) {
 	if rep.Instance != r.cfg.Instance {
 		if rep.Acknowledged.Term != l.term || rep.Acknowledged.SentAt > bootClock() {
-			return // else the sender might follow another leader of before this term next
+			return // the sender may still follow another leader of an earlier term
 		}
 		l.support.Acknowledged(rep.Instance, rep.Acknowledged.SentAt)
 	}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -41,6 +41,9 @@
 	SupportTime = 1200 * time.Millisecond
 	// clockDriftFactor is the largest ratio of the speeds of two clocks.
 	clockDriftFactor = 1.02
+	// MaxFormerLead is the longest time after an election for which an earlier leader may go on,
+	// on the clock of the successor.
+	MaxFormerLead = time.Duration(float64(MaxOutage) * clockDriftFactor)
 )
 
 // Electorate is what the stored ownership record says about support.
@@ -115,22 +118,19 @@
 	end        time.Time
 }
 
-// NewSuccession returns the succession of a leader that was elected at now or before. e is that of
-// the record that it has read.
+// NewSuccession returns the succession of a leader that was elected at now or before. e is the
+// electorate of the record that it has read. A record without voters that is not open is one that
+// no earlier leader has stored, so that none has granted keys.
 func NewSuccession(now time.Time, e Electorate) Succession {
 	s := Succession{electorate: e, end: now.Add(MaxFormerLead)}
 	if !e.Open && len(e.Voters) == 0 {
-		s.end = now // no support suffices
+		s.end = now
 	}
 	return s
 }
 
-// MaxFormerLead is the longest time after an election for which an earlier leader may go on, on
-// the clock of the successor.
-const MaxFormerLead = time.Duration(float64(MaxOutage) * clockDriftFactor)
-
-// Follows records a report in which an instance has acknowledged a reply of this leader. At most
-// age before, it had the last reply of an earlier leader.
+// Follows records a report in which an instance has acknowledged a reply of this leader. The
+// instance had the last reply of an earlier leader age ago, or before.
 func (s *Succession) Follows(now time.Time, id fleet.InstanceID, age time.Duration) {
 	if s.electorate.Open || !slices.Contains(s.electorate.Voters, id) {
 		return
@@ -159,7 +159,7 @@
 // FormerEnd returns the time after which no earlier leader goes on, as far as it is known.
 func (s *Succession) FormerEnd() time.Time { return s.end }
 
-// Silent reports whether the succession waits for an instance to follow.
+// Silent reports whether an instance has not followed yet while earlier leaders may go on.
 func (s *Succession) Silent(now time.Time, id fleet.InstanceID) bool {
 	_, known := s.supportEnd[id]
 	return !known && now.Before(s.end)
