keyspace, direct: no record in the first 1.5 s of a leader that waits for its predecessors

Cause: leaders there end and are elected again every few seconds. A leader that had just followed itself stored its first record within the 1.2 s for which it took its own former leadership into account; the record stated that earlier leaders may go on, so that the next one waited 10.2 s before it went on with a move.

Change: while earlier leaders may go on, no record is stored in the first 1.5 s, in which their end becomes known in most cases. The end of an instance's own leadership needs no wait: it supported nobody else meanwhile.

--- a/internal/direct/elect.go
+++ b/internal/direct/elect.go
@@ -136,7 +136,7 @@
 	r.noteEra(info.heardAt, info.term.Era())
 	changed := r.leader.term != info.term
 	if changed {
-		r.formerHeardAt = latest(r.formerHeardAt, r.leader.heardAt)
+		r.noteFormerLeader()
 	}
 	r.leader = info
 	if changed {
@@ -213,7 +213,7 @@
 		r.mu.Unlock()
 		r.log.Warn("ownership record is from before the store was restored", "record-era", uint64(record.Era), "term", l.term)
 	}
-	l.support = quorum.NewSupport(r.cfg.Instance, storedElectorate(record, l.term))
+	l.support = quorum.NewSupport(r.cfg.Instance, storedElectorate(record, recordRev != 0, l.term))
 	l.succession = quorum.NewSuccession(l.startedAt, formerElectorate(record, recordRev != 0, l.term))
 	l.recordRev, l.recordedInstances, l.recordedCount = recordRev, record.Instances, len(record.Instances)
 	l.coordinator = keyspace.NewCoordinator(l.startedAt, l.term, keyspace.Timing{
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -191,13 +191,13 @@
 	r.log.Info("leading", "term", l.term, "record-revision", l.recordRev)
 	r.mu.Lock()
 	r.leadership, r.totalDemand, r.directives = l, demandSum{}, nil
-	r.formerHeardAt = latest(r.formerHeardAt, r.leader.heardAt)
+	r.noteFormerLeader()
 	r.leader = leaderInfo{id: r.cfg.Instance, addr: r.cfg.PeerListen, term: l.term, heardAt: time.Now()}
 	r.mu.Unlock()
 	defer func() {
 		l.end()
 		r.mu.Lock()
-		r.leadership, r.formerHeardAt = nil, time.Now()
+		r.leadership = nil
 		r.mu.Unlock()
 		r.log.Info("leadership ended", "term", l.term)
 	}()
@@ -354,7 +354,7 @@
 		return
 	}
 	l.saving = true
-	l.support.Storing(storedElectorate(record, l.term))
+	l.support.Storing(storedElectorate(record, true, l.term))
 	w := Write{Key: ownershipKey, Value: record.Encode(), Expect: l.recordRev}
 	term := l.term
 	go func() {
--- a/internal/direct/router.go
+++ b/internal/direct/router.go
@@ -108,7 +108,7 @@
 	// Data for reports to the leader, and from its replies.
 	leader        leaderInfo
 	announced     leaderInfo // the last leader that has announced its election
-	formerHeardAt time.Time  // last reply of a leader before the present one, end of the own leadership, or start
+	formerHeardAt time.Time  // last reply of another leader before the present one, or start
 	acknowledged  acknowledgement
 	requestedKeys map[fleet.ServiceID][]keyspace.Key // by callers since the last report
 	demandReports demandReports
--- a/internal/direct/succession.go
+++ b/internal/direct/succession.go
@@ -37,11 +37,11 @@
 	e.Int64(a.SentAt.Milliseconds())
 }
 
-// storedElectorate returns the electorate of a record that a leader of the given term has stored,
-// for the support of this leader. In a record of an earlier era, the next leader does not rely on
-// the instances.
-func storedElectorate(rec keyspace.Record, term fleet.Revision) quorum.Electorate {
-	e := quorum.Electorate{Open: rec.FormerLead}
+// storedElectorate returns the electorate of the stored record, for the support of a leader of the
+// given term. In a record of an earlier era, the next leader does not rely on the instances. As long
+// as no record has been stored, no leader can have granted keys, so that none needs support.
+func storedElectorate(rec keyspace.Record, stored bool, term fleet.Revision) quorum.Electorate {
+	e := quorum.Electorate{Open: rec.FormerLead || !stored && rec.Era == term.Era()}
 	if rec.Era == term.Era() {
 		e.Voters = instanceIDs(rec.Instances)
 	}
@@ -61,6 +61,15 @@
 	return quorum.Electorate{Voters: instanceIDs(rec.Instances), Open: rec.FormerLead || stored && len(rec.Instances) == 0}
 }
 
+// noteFormerLeader records when the present leader, which another one replaces, last replied. The
+// own leadership does not count: it has ended, and this instance supported nobody else meanwhile.
+// The caller must hold mu.
+func (r *Router) noteFormerLeader() {
+	if r.leader.id != r.cfg.Instance {
+		r.formerHeardAt = latest(r.formerHeardAt, r.leader.heardAt)
+	}
+}
+
 // noteSupport learns from a report whether its sender supports this leader, and since when no
 // earlier one.
 func (r *Router) noteSupport(now time.Time, l *leadership, rep report) {
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -186,8 +186,8 @@
 // if that is later, calls that the earlier leader has decided on may still be sent.
 const staleLeaderTime = 1500 * time.Millisecond
 
-// openRecordDelay is the time after an election from which on a record states that earlier
-// leaders may go on. Usually their end is known before, so that no record has to be stored.
+// openRecordDelay is the time after an election for which no record is stored as long as earlier
+// leaders may go on, since it would have to state that. Usually their end is known before.
 const openRecordDelay = 1500 * time.Millisecond
 
 // restoredLeaderTime is the additional time for which a leader may continue if the store
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -63,9 +63,11 @@
 // Save returns the record to store, a function to call once it is stored, and whether
 // there is a record to store.
 func (co *Coordinator) Save(now time.Time) (Record, func(), bool) {
+	if co.inheriting && now.Sub(co.electedAt) < openRecordDelay {
+		return Record{}, nil, false // the record would make the next leader wait as long as an earlier one may go on
+	}
 	era := co.recordEra(now)
-	formerLeadChanged := co.savedFormerLead != co.inheriting && (!co.inheriting || now.Sub(co.electedAt) >= openRecordDelay)
-	if era == co.savedEra && !co.recordDirty && !formerLeadChanged && (co.overstatedSince.IsZero() || now.Sub(co.overstatedSince) < maxOverstatedTime) {
+	if era == co.savedEra && !co.recordDirty && co.savedFormerLead == co.inheriting && (co.overstatedSince.IsZero() || now.Sub(co.overstatedSince) < maxOverstatedTime) {
 		return Record{}, nil, false
 	}
 	co.recordDirty, co.overstatedSince = false, time.Time{}
