--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -50,7 +50,8 @@
 type Electorate struct {
 	Voters []fleet.InstanceID
 	// Open states that leaders before the one that stored the record may go on, whatever the
-	// voters support.
+	// voters support. A leader that has read no record, so that nobody can have granted keys,
+	// counts its own support as open.
 	Open bool
 }
 
