--- a/internal/direct/elect.go
+++ b/internal/direct/elect.go
@@ -215,6 +215,7 @@
 	}
 	l.support = quorum.NewSupport(r.cfg.Instance, storedElectorate(record, recordRev != 0, l.term))
 	l.succession = quorum.NewSuccession(l.startedAt, formerElectorate(record, recordRev != 0, l.term))
+	l.announceDue = l.startedAt.Add(announceInterval)
 	l.recordRev, l.recordedInstances, l.recordedCount = recordRev, record.Instances, len(record.Instances)
 	l.coordinator = keyspace.NewCoordinator(l.startedAt, l.term, keyspace.Timing{
 		Hold: min(minGrantTTL, r.cfg.MaxGrantTTL), Renew: grantRenewInterval, Retry: grantRetryDelay, UnknownHold: r.longestGrantTTL(), FormerLead: l.succession.FormerEnd().Sub(l.startedAt),
--- a/internal/direct/lead.go
+++ b/internal/direct/lead.go
@@ -290,27 +290,6 @@
 	return true
 }
 
-// mayLead reports whether the instance may go on leading at clock, which is that of bootClock.
-func (r *Router) mayLead(clock time.Duration, l *leadership) bool {
-	return clock < l.validUntil || l.support.MayLead(clock, l.validUntil) && r.storeDownForAll(l)
-}
-
-// storeDownForAll reports whether the store seems to be unavailable to all instances: none
-// that has reported has reached the store since this instance last did. Instances that rely
-// on the leader call the store themselves once the leader's state is stale. What is reported
-// cannot show that no other leader has been elected; see package quorum.
-func (r *Router) storeDownForAll(l *leadership) bool {
-	r.mu.Lock()
-	ownAnswer := r.storeAnsweredAt
-	r.mu.Unlock()
-	for id, m := range l.members {
-		if id != r.cfg.Instance && m.heardAt.Add(-m.storeAge).After(ownAnswer.Add(leaseMargin)) {
-			return false
-		}
-	}
-	return true
-}
-
 // renewIfDue starts a renewal of the leader's lease if one is due.
 func (r *Router) renewIfDue(ctx context.Context, now time.Time, l *leadership, leaseValid bool) {
 	interval, timeout := leaseRenewInterval, storeTimeout
--- a/internal/direct/succession.go
+++ b/internal/direct/succession.go
@@ -61,6 +61,27 @@
 	return quorum.Electorate{Voters: instanceIDs(rec.Instances), Open: rec.FormerLead || stored && len(rec.Instances) == 0}
 }
 
+// mayLead reports whether the instance may go on leading at clock, which is that of bootClock.
+func (r *Router) mayLead(clock time.Duration, l *leadership) bool {
+	return clock < l.validUntil || l.support.MayLead(clock, l.validUntil) && r.storeDownForAll(l)
+}
+
+// storeDownForAll reports whether the store seems to be unavailable to all instances: none
+// that has reported has reached the store since this instance last did. Instances that rely
+// on the leader call the store themselves once the leader's state is stale. What is reported
+// cannot show that no other leader has been elected; see package quorum.
+func (r *Router) storeDownForAll(l *leadership) bool {
+	r.mu.Lock()
+	ownAnswer := r.storeAnsweredAt
+	r.mu.Unlock()
+	for id, m := range l.members {
+		if id != r.cfg.Instance && m.heardAt.Add(-m.storeAge).After(ownAnswer.Add(leaseMargin)) {
+			return false
+		}
+	}
+	return true
+}
+
 // noteFormerLeader records when the present leader, which another one replaces, last replied. The
 // own leadership does not count: it has ended, and this instance supported nobody else meanwhile.
 // The caller must hold mu.
@@ -85,9 +106,6 @@
 // announce sends the election of this leader to instances that may support an earlier one, for
 // the case that they do not reach the store.
 func (r *Router) announce(ctx context.Context, now time.Time, l *leadership) {
-	if l.announceDue.IsZero() {
-		l.announceDue = l.startedAt.Add(announceInterval)
-	}
 	if now.Before(l.announceDue) {
 		return
 	}
@@ -140,13 +158,12 @@
 // followAnnounced sets the leader that has announced its election, if it is later than the known
 // one, and reports whether it did.
 func (r *Router) followAnnounced() bool {
-	if !r.laterLeaderAnnounced() {
-		return false
-	}
 	r.mu.Lock()
-	info := r.announced
+	info, later := r.announced, r.announced.term > r.leader.term
 	r.mu.Unlock()
-	info.heardAt = time.Now()
-	r.setLeader(info)
-	return true
+	if later {
+		info.heardAt = time.Now()
+		r.setLeader(info)
+	}
+	return later
 }
